--- /dev/null
+++ b/base/Erase.h
@@ -0,0 +1,22 @@
+#pragma once
+
+// Erases entries of a map while looking at them mutably, which std::erase_if
+// does not allow.
+
+namespace jaydoor {
+
+// Calls `aDrop(key, value)` for each entry; true erases the entry.
+template<typename Map, typename Predicate>
+void
+EraseWhere(Map& aMap, Predicate aDrop)
+{
+  for (auto at = aMap.begin(); at != aMap.end();) {
+    if (aDrop(at->first, at->second)) {
+      at = aMap.erase(at);
+    } else {
+      ++at;
+    }
+  }
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/control/Rules.cpp
@@ -0,0 +1,433 @@
+#include "control/Rules.h"
+
+#include <charconv>
+#include <optional>
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr std::string_view kBlanks = " \t\r";
+
+struct Word
+{
+  std::string_view text_;
+  std::size_t column_ = 0; // from 1
+};
+
+// One line of the file, cut into words; knows where it stands for errors.
+struct Line
+{
+  std::vector<Word> words_;
+  std::size_t number_ = 0;    // from 1
+  std::size_t endColumn_ = 1; // where a missing word would stand
+};
+
+tl::unexpected<Error>
+RuleError(const Line& aLine,
+          std::size_t aColumn,
+          std::string_view aExpected,
+          std::string_view aFound)
+{
+  return MakeError(
+    ErrorKind::BadRule,
+    fmt::format("line {}, column {}: expected {}, found '{}'; mend the line "
+                "and apply the file again (nothing was changed)",
+                aLine.number_,
+                aColumn,
+                aExpected,
+                aFound));
+}
+
+std::vector<Word>
+SplitWords(std::string_view aText)
+{
+  std::vector<Word> words;
+  std::size_t at = aText.find_first_not_of(kBlanks);
+  while (at != std::string_view::npos) {
+    std::size_t end = aText.find_first_of(kBlanks, at);
+    if (end == std::string_view::npos) {
+      end = aText.size();
+    }
+    words.push_back({ aText.substr(at, end - at), at + 1 });
+    at = aText.find_first_not_of(kBlanks, end);
+  }
+  return words;
+}
+
+std::optional<double>
+ParseNumber(std::string_view aText)
+{
+  double number = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  const bool whole = end == aText.data() + aText.size();
+  if (error != std::errc{} || !whole || !(number >= 0) || number > 1e9) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<Duration>
+ParseDuration(std::string_view aText)
+{
+  struct Unit
+  {
+    std::string_view text_;
+    double us_;
+  };
+  constexpr std::array kUnits = { Unit{ "ms", 1e3 },
+                                  Unit{ "s", 1e6 },
+                                  Unit{ "min", 60e6 } };
+  for (const auto& unit : kUnits) {
+    if (!aText.ends_with(unit.text_)) {
+      continue;
+    }
+    const auto number =
+      ParseNumber(aText.substr(0, aText.size() - unit.text_.size()));
+    if (number) {
+      return Duration(static_cast<Duration::rep>(*number * unit.us_));
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+MatchesLabel(std::string_view aPattern, std::string_view aLabel)
+{
+  if (aPattern.ends_with('*')) {
+    return aLabel.starts_with(aPattern.substr(0, aPattern.size() - 1));
+  }
+  return aPattern.empty() || aPattern == aLabel;
+}
+
+bool
+Matches(const RuleMatch& aMatch,
+        std::string_view aDatabase,
+        std::string_view aWork)
+{
+  const bool database =
+    aMatch.database_.empty() || aMatch.database_ == aDatabase;
+  return database && MatchesLabel(aMatch.work_, aWork);
+}
+
+// Walks the words of one line after the verb.
+class LineReader
+{
+public:
+  explicit LineReader(const Line& aLine)
+    : line_(aLine)
+  {
+  }
+
+  const Word* Next()
+  {
+    return next_ < line_.words_.size() ? &line_.words_[next_++] : nullptr;
+  }
+
+  // Takes `key=value` words while they stand next.
+  Expected<RuleMatch> Match()
+  {
+    RuleMatch match;
+    while (next_ < line_.words_.size()) {
+      const Word& word = line_.words_[next_];
+      if (word.text_.starts_with("database=")) {
+        match.database_ = word.text_.substr(9);
+      } else if (word.text_.starts_with("work=")) {
+        match.work_ = word.text_.substr(5);
+      } else {
+        break;
+      }
+      if (word.text_.ends_with('=')) {
+        return Wrong("a name after '='", &word);
+      }
+      next_++;
+    }
+    return match;
+  }
+
+  // Takes a word that starts with `aPrefix` and returns the rest of it.
+  Expected<std::string_view> Value(std::string_view aPrefix,
+                                   std::string_view aExpected)
+  {
+    const Word* word = Next();
+    const bool found = word != nullptr && word->text_.starts_with(aPrefix) &&
+                       word->text_.size() > aPrefix.size();
+    if (!found) {
+      return Wrong(aExpected, word);
+    }
+    return word->text_.substr(aPrefix.size());
+  }
+
+  tl::unexpected<Error> Wrong(std::string_view aExpected, const Word* aWord)
+  {
+    if (aWord == nullptr) {
+      return RuleError(line_, line_.endColumn_, aExpected, "end of rule");
+    }
+    return RuleError(line_, aWord->column_, aExpected, aWord->text_);
+  }
+
+  const Word* Last() const { return &line_.words_[next_ - 1]; }
+
+  // Error unless all words are used.
+  Expected<bool> End()
+  {
+    if (next_ < line_.words_.size()) {
+      return Wrong("the end of the rule or '#'", &line_.words_[next_]);
+    }
+    return true;
+  }
+
+private:
+  const Line& line_;
+  std::size_t next_ = 1;
+};
+
+Expected<bool>
+ReadStale(LineReader& aReader, Rules& aRules)
+{
+  auto match = aReader.Match();
+  if (!match) {
+    return tl::unexpected(match.error());
+  }
+  const auto value = aReader.Value("max_age=", "max_age=TIME");
+  if (!value) {
+    return tl::unexpected(value.error());
+  }
+  const auto age = ParseDuration(*value);
+  if (!age) {
+    return aReader.Wrong("max_age=TIME, a number with ms, s or min",
+                         aReader.Last());
+  }
+  aRules.stale_.push_back({ std::move(*match), *age });
+  return true;
+}
+
+Expected<bool>
+ReadRank(LineReader& aReader, Rules& aRules)
+{
+  auto match = aReader.Match();
+  if (!match) {
+    return tl::unexpected(match.error());
+  }
+  const Word* word = aReader.Next();
+  const auto rank = ParseRank(word == nullptr ? "" : word->text_);
+  if (!rank) {
+    return aReader.Wrong("urgent, normal or low", word);
+  }
+  aRules.rank_.push_back({ std::move(*match), *rank });
+  return true;
+}
+
+Expected<bool>
+ReadDeadline(LineReader& aReader, Rules& aRules)
+{
+  auto match = aReader.Match();
+  if (!match) {
+    return tl::unexpected(match.error());
+  }
+  const Word* word = aReader.Next();
+  const auto time = ParseDuration(word == nullptr ? "" : word->text_);
+  if (!time || *time <= Duration::zero()) {
+    return aReader.Wrong("a time above zero with ms, s or min", word);
+  }
+  aRules.deadline_.push_back({ std::move(*match), *time });
+  return true;
+}
+
+Expected<bool>
+ReadFloor(LineReader& aReader, Rules& aRules)
+{
+  const Word* word = aReader.Next();
+  const auto rank = ParseRank(word == nullptr ? "" : word->text_);
+  if (!rank || *rank == Rank::Urgent) {
+    return aReader.Wrong("normal or low", word);
+  }
+  const Word* share = aReader.Next();
+  const bool percent = share != nullptr && share->text_.ends_with('%');
+  const auto number =
+    percent ? ParseNumber(share->text_.substr(0, share->text_.size() - 1))
+            : std::nullopt;
+  if (!number) {
+    return aReader.Wrong("a share like 20%", share);
+  }
+  aRules.floors_[static_cast<std::size_t>(*rank)] = *number / 100;
+  double sum = 0;
+  for (const double floor : aRules.floors_) {
+    sum += floor;
+  }
+  if (sum > kMaxFloorSum) {
+    return aReader.Wrong("floors that add up to at most 80%", share);
+  }
+  return true;
+}
+
+Expected<bool>
+ReadTraffic(LineReader& aReader, Rules& aRules)
+{
+  const auto server = aReader.Value("server=", "server=NAME");
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  const Word* word = aReader.Next();
+  const bool known =
+    word != nullptr && (word->text_ == "on" || word->text_ == "off");
+  if (!known) {
+    return aReader.Wrong("on or off", word);
+  }
+  aRules.traffic_.push_back({ std::string(*server), word->text_ == "on" });
+  return true;
+}
+
+Expected<bool>
+ReadShare(LineReader& aReader, Rules& aRules)
+{
+  const auto customer = aReader.Value("customer=", "customer=NAME");
+  if (!customer) {
+    return tl::unexpected(customer.error());
+  }
+  const Word* word = aReader.Next();
+  const auto weight = ParseNumber(word == nullptr ? "" : word->text_);
+  if (!weight || *weight <= 0) {
+    return aReader.Wrong("a weight above zero", word);
+  }
+  aRules.share_.push_back({ std::string(*customer), *weight });
+  return true;
+}
+
+using RuleReader = Expected<bool> (*)(LineReader&, Rules&);
+
+struct Verb
+{
+  std::string_view text_;
+  RuleReader read_;
+};
+
+constexpr std::array kVerbs = { Verb{ "stale", ReadStale },
+                                Verb{ "rank", ReadRank },
+                                Verb{ "deadline", ReadDeadline },
+                                Verb{ "floor", ReadFloor },
+                                Verb{ "traffic", ReadTraffic },
+                                Verb{ "share", ReadShare } };
+
+Expected<bool>
+ReadLine(std::string_view aText, std::size_t aNumber, Rules& aRules)
+{
+  const std::size_t hash = aText.find('#');
+  Line line;
+  line.number_ = aNumber;
+  line.words_ = SplitWords(aText.substr(0, hash));
+  line.endColumn_ = std::min(hash, aText.size()) + 1;
+  if (line.words_.empty()) {
+    return true; // a blank line, or a comment of its own
+  }
+  const bool named = hash != std::string_view::npos &&
+                     aText.find_first_not_of(kBlanks, hash + 1) !=
+                       std::string_view::npos;
+  if (!named) {
+    return RuleError(line,
+                     line.endColumn_,
+                     "a comment '# who asked for it'",
+                     "end of line");
+  }
+  const Word& first = line.words_.front();
+  for (const auto& verb : kVerbs) {
+    if (verb.text_ == first.text_) {
+      LineReader reader(line);
+      const auto read = verb.read_(reader, aRules);
+      return read ? reader.End() : read;
+    }
+  }
+  return RuleError(line,
+                   first.column_,
+                   "stale, rank, deadline, floor, traffic or share",
+                   first.text_);
+}
+
+} // namespace
+
+Duration
+Rules::MaxAge(std::string_view aDatabase, std::string_view aWork) const
+{
+  for (const auto& rule : stale_) {
+    if (Matches(rule.match_, aDatabase, aWork)) {
+      return rule.maxAge_;
+    }
+  }
+  return Duration::zero();
+}
+
+Rank
+Rules::RankOf(std::string_view aDatabase,
+              std::string_view aWork,
+              std::optional<Rank> aWish) const
+{
+  for (const auto& rule : rank_) {
+    if (Matches(rule.match_, aDatabase, aWork)) {
+      return rule.rank_;
+    }
+  }
+  return aWish.value_or(kDefaultRank);
+}
+
+Duration
+Rules::Deadline(std::string_view aDatabase,
+                std::string_view aWork,
+                Duration aWish) const
+{
+  for (const auto& rule : deadline_) {
+    if (Matches(rule.match_, aDatabase, aWork)) {
+      return std::min(rule.deadline_, aWish);
+    }
+  }
+  return aWish;
+}
+
+bool
+Rules::TakesTraffic(std::string_view aServer) const
+{
+  for (const auto& rule : traffic_) {
+    if (rule.server_ == aServer) {
+      return rule.on_;
+    }
+  }
+  return true;
+}
+
+double
+Rules::WeightOf(std::string_view aCustomer) const
+{
+  for (const auto& rule : share_) {
+    if (rule.customer_ == aCustomer) {
+      return rule.weight_;
+    }
+  }
+  return 1;
+}
+
+Expected<Rules>
+ParseRules(std::string_view aText)
+{
+  if (aText.size() > kMaxRulesBytes) {
+    return MakeError(ErrorKind::BadRule,
+                     fmt::format("the rules have {} bytes, {} are allowed; "
+                                 "remove rules that no longer apply",
+                                 aText.size(),
+                                 kMaxRulesBytes));
+  }
+  Rules rules;
+  std::size_t number = 0;
+  while (!aText.empty()) {
+    number++;
+    const std::size_t end = std::min(aText.find('\n'), aText.size());
+    const auto read = ReadLine(aText.substr(0, end), number, rules);
+    if (!read) {
+      return tl::unexpected(read.error());
+    }
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+  return rules;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/daemon/Http.cpp
@@ -0,0 +1,442 @@
+#include "daemon/Http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kReadBytes = 4096; // first size of a read buffer
+constexpr std::uint64_t kMaxAnswerBytes = 16UL * 1024 * 1024;
+
+void
+SetSocketOptions(Tcp::socket& aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(Tcp::no_delay(true), ignored);
+}
+
+std::string_view
+ToView(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+HttpCall
+ToCall(http::request<http::string_body>&& aRequest, std::uint64_t aConnection)
+{
+  HttpCall call;
+  call.connection_ = aConnection;
+  call.method_ = aRequest.method_string();
+  call.path_ = aRequest.target();
+  call.trace_ = aRequest["traceparent"];
+  std::string_view secret = ToView(aRequest[http::field::authorization]);
+  if (secret.starts_with(kBearer)) {
+    call.secret_ = secret.substr(kBearer.size());
+  }
+  call.body_ = std::move(aRequest.body());
+  return call;
+}
+
+std::string
+ProblemBody(std::string_view aProblem)
+{
+  return fmt::format(R"({{"outcome":"not_run","reason":"bad_request",)"
+                     R"("remedy":"{}"}})",
+                     aProblem);
+}
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+  Impl(asio::io_context& aContext, HttpLimits aLimits, HttpHandler aHandler)
+    : context_(aContext)
+    , acceptor_(aContext)
+    , limits_(aLimits)
+    , handler_(std::move(aHandler))
+  {
+  }
+
+  asio::awaitable<void> Accept()
+  {
+    auto self = shared_from_this();
+    while (acceptor_.is_open()) {
+      boost::system::error_code error;
+      Tcp::socket socket = co_await acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+      if (error || open_ >= limits_.connections_) {
+        continue; // the socket, if any, closes here
+      }
+      SetSocketOptions(socket);
+      asio::co_spawn(
+        context_, Serve(std::move(socket), nextId_++), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(Tcp::socket aSocket, std::uint64_t aId)
+  {
+    auto self = shared_from_this();
+    open_++;
+    beast::tcp_stream stream(std::move(aSocket));
+    const bool accepted = !accepted_ || co_await accepted_(aId);
+    if (accepted) {
+      beast::flat_buffer buffer;
+      while (co_await ServeOne(stream, buffer, aId)) {
+      }
+    }
+    boost::system::error_code ignored;
+    stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    stream.close();
+    open_--;
+    if (closed_) {
+      closed_(aId);
+    }
+  }
+
+  // True if the connection goes on.
+  asio::awaitable<bool> ServeOne(beast::tcp_stream& aStream,
+                                 beast::flat_buffer& aBuffer,
+                                 std::uint64_t aId)
+  {
+    boost::system::error_code error;
+    if (aBuffer.size() == 0) {
+      aStream.expires_after(limits_.idleTimeout_);
+      const std::size_t got = co_await aStream.async_read_some(
+        aBuffer.prepare(kReadBytes),
+        asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return false;
+      }
+      aBuffer.commit(got);
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits_.headerBytes_);
+    parser.body_limit(limits_.bodyBytes_);
+    aStream.expires_after(limits_.headTimeout_);
+    co_await http::async_read(
+      aStream, aBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_await Refuse(aStream, error);
+      co_return false;
+    }
+    const bool keep = parser.get().keep_alive();
+    const unsigned version = parser.get().version();
+    aStream.expires_never();
+    HttpReply reply = co_await handler_(ToCall(parser.release(), aId));
+    const bool goesOn = keep && !reply.close_ && acceptor_.is_open();
+    co_await Write(aStream, std::move(reply), version, goesOn, error);
+    co_return goesOn && !error;
+  }
+
+  asio::awaitable<void> Write(beast::tcp_stream& aStream,
+                              HttpReply aReply,
+                              unsigned aVersion,
+                              bool aKeep,
+                              boost::system::error_code& aError)
+  {
+    http::response<http::string_body> response;
+    response.version(aVersion);
+    response.result(aReply.status_);
+    response.set(http::field::content_type, aReply.type_);
+    response.body() = std::move(aReply.body_);
+    response.keep_alive(aKeep);
+    response.prepare_payload();
+    aStream.expires_after(limits_.headTimeout_);
+    co_await http::async_write(
+      aStream, response, asio::redirect_error(asio::use_awaitable, aError));
+  }
+
+  // Tells a caller what was wrong with its bytes, if it still listens.
+  asio::awaitable<void> Refuse(beast::tcp_stream& aStream,
+                               boost::system::error_code aError)
+  {
+    HttpReply reply;
+    if (aError == http::error::body_limit) {
+      reply.status_ = 413;
+      reply.body_ = ProblemBody("send a smaller body");
+    } else if (aError == http::error::header_limit) {
+      reply.status_ = 431;
+      reply.body_ = ProblemBody("send fewer or shorter headers");
+    } else if (aError == beast::error::timeout) {
+      reply.status_ = 408;
+      reply.body_ = ProblemBody("send the whole request sooner");
+    } else if (aError.category() ==
+               http::make_error_code(http::error::bad_method).category()) {
+      reply.status_ = 400;
+      reply.body_ = ProblemBody("send a valid HTTP/1.1 request");
+    } else {
+      co_return;
+    }
+    boost::system::error_code ignored;
+    co_await Write(aStream, std::move(reply), 11, false, ignored);
+  }
+
+  asio::io_context& context_;
+  Tcp::acceptor acceptor_;
+  HttpLimits limits_;
+  HttpHandler handler_;
+  std::function<void(std::uint64_t)> closed_;
+  std::function<asio::awaitable<bool>(std::uint64_t)> accepted_;
+  std::uint64_t nextId_ = 1;
+  std::size_t open_ = 0;
+};
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       HttpLimits aLimits,
+                       HttpHandler aHandler)
+  : impl_(std::make_shared<Impl>(aContext, aLimits, std::move(aHandler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  StopAccepting();
+}
+
+Expected<std::uint16_t>
+HttpServer::Listen(const std::string& aHost, std::uint16_t aPort)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aHost, error);
+  if (error) {
+    return MakeError(ErrorKind::Network,
+                     fmt::format("'{}' is no IP address; give one by number "
+                                 "such as 127.0.0.1",
+                                 aHost));
+  }
+  auto& acceptor = impl_->acceptor_;
+  const Tcp::endpoint endpoint(address, aPort);
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return MakeError(
+      ErrorKind::Network,
+      fmt::format("can't listen on {}:{}: {}; choose a free port of this VM",
+                  aHost,
+                  aPort,
+                  error.message()));
+  }
+  asio::co_spawn(impl_->context_, impl_->Accept(), asio::detached);
+  return acceptor.local_endpoint().port();
+}
+
+void
+HttpServer::StopAccepting()
+{
+  boost::system::error_code ignored;
+  impl_->acceptor_.close(ignored);
+}
+
+void
+HttpServer::OnClosed(std::function<void(std::uint64_t)> aCallback)
+{
+  impl_->closed_ = std::move(aCallback);
+}
+
+void
+HttpServer::OnAccepted(
+  std::function<asio::awaitable<bool>(std::uint64_t)> aCallback)
+{
+  impl_->accepted_ = std::move(aCallback);
+}
+
+std::size_t
+HttpServer::Connections() const
+{
+  return impl_->open_;
+}
+
+// ---- Client connection
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl>
+{
+  Impl(asio::io_context& aContext, HttpClientEvents aEvents)
+    : stream_(aContext)
+    , events_(std::move(aEvents))
+  {
+  }
+
+  void Open(const std::string& aHost, std::uint16_t aPort)
+  {
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(aHost, error);
+    if (error) {
+      asio::post(stream_.get_executor(),
+                 [self = shared_from_this()] { self->Lose(); });
+      return;
+    }
+    host_ = aHost;
+    stream_.expires_never();
+    stream_.async_connect(
+      Tcp::endpoint(address, aPort),
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (aError) {
+          self->Lose();
+          return;
+        }
+        SetSocketOptions(self->stream_.socket());
+        self->open_ = true;
+        if (!self->closed_) {
+          self->events_.opened_();
+          self->Watch();
+        }
+      });
+  }
+
+  // Notices that the other side closes an idle connection.
+  void Watch()
+  {
+    stream_.socket().async_wait(
+      Tcp::socket::wait_read,
+      [self = shared_from_this()](boost::system::error_code aError) {
+        if (!aError && !self->busy_ && !self->closed_) {
+          self->Lose();
+        }
+      });
+  }
+
+  void Post(std::string_view aPath,
+            std::string aBody,
+            std::string_view aSecret,
+            std::string_view aTrace)
+  {
+    busy_ = true;
+    boost::system::error_code ignored;
+    request_ = {};
+    request_.method(http::verb::post);
+    request_.version(11);
+    request_.target(beast::string_view(aPath.data(), aPath.size()));
+    request_.set(http::field::host, host_);
+    request_.set(http::field::content_type, "application/json");
+    if (!aSecret.empty()) {
+      request_.set(http::field::authorization,
+                   std::string(kBearer) + std::string(aSecret));
+    }
+    if (!aTrace.empty()) {
+      request_.set("traceparent", std::string(aTrace));
+    }
+    request_.body() = std::move(aBody);
+    request_.prepare_payload();
+    http::async_write(
+      stream_,
+      request_,
+      [self = shared_from_this()](boost::system::error_code aError,
+                                  std::size_t) {
+        if (aError) {
+          self->Lose();
+        } else {
+          self->Read();
+        }
+      });
+  }
+
+  void Read()
+  {
+    parser_.emplace();
+    parser_->body_limit(kMaxAnswerBytes);
+    http::async_read(
+      stream_,
+      buffer_,
+      *parser_,
+      [self = shared_from_this()](boost::system::error_code aError,
+                                  std::size_t) {
+        if (aError) {
+          self->Lose();
+        } else {
+          self->Finish();
+        }
+      });
+  }
+
+  void Finish()
+  {
+    if (closed_) {
+      return;
+    }
+    busy_ = false;
+    auto response = parser_->release();
+    const bool keep = response.keep_alive();
+    events_.answered_(response.result_int(), std::move(response.body()));
+    if (!keep && !busy_) {
+      Lose();
+    }
+  }
+
+  void Lose()
+  {
+    if (!closed_) {
+      Close();
+      events_.lost_();
+    }
+  }
+
+  void Close()
+  {
+    closed_ = true;
+    boost::system::error_code ignored;
+    stream_.socket().close(ignored);
+  }
+
+  beast::tcp_stream stream_;
+  HttpClientEvents events_;
+  std::string host_;
+  beast::flat_buffer buffer_;
+  http::request<http::string_body> request_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  bool open_ = false;
+  bool busy_ = false; // a request has no answer yet
+  bool closed_ = false;
+};
+
+HttpClient::HttpClient(asio::io_context& aContext, HttpClientEvents aEvents)
+  : impl_(std::make_shared<Impl>(aContext, std::move(aEvents)))
+{
+}
+
+HttpClient::~HttpClient()
+{
+  impl_->Close();
+}
+
+void
+HttpClient::Open(const std::string& aHost, std::uint16_t aPort)
+{
+  impl_->Open(aHost, aPort);
+}
+
+void
+HttpClient::Post(std::string_view aPath,
+                 std::string aBody,
+                 std::string_view aSecret,
+                 std::string_view aTrace)
+{
+  impl_->Post(aPath, std::move(aBody), aSecret, aTrace);
+}
+
+void
+HttpClient::Close()
+{
+  impl_->Close();
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/traffic/Actions.h
@@ -0,0 +1,95 @@
+#pragma once
+
+// What the traffic decisions ask of the shell that drives them.
+//
+// The shell performs the actions in order and brings back what came of them
+// as events: see TrafficNode.h.
+
+#include "base/Log.h"
+#include "base/Types.h"
+#include "wire/Json.h"
+#include "wire/jaydoor.pb.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jaydoor {
+
+using ConnectionId = std::uint64_t;
+using RequestId = std::uint64_t;
+
+struct OpenConnection
+{
+  ConnectionId id_ = 0;
+  std::string host_;
+  std::uint16_t port_ = 0;
+};
+
+struct CloseConnection
+{
+  ConnectionId id_ = 0;
+};
+
+struct SendUpstream
+{
+  ConnectionId id_ = 0;
+  UpstreamRequest request_;
+};
+
+struct AnswerCaller
+{
+  RequestId request_ = 0;
+  CallerAnswer answer_;
+};
+
+struct SendPeer
+{
+  VmId to_;
+  wire::TrafficMessage message_;
+};
+
+// Goes to the control thread, which passes it on to the leader.
+struct ReportSuspicion
+{
+  wire::Suspicion suspicion_;
+};
+
+struct WriteNote
+{
+  Event event_ = Event::RequestRefused;
+  std::string text_;
+};
+
+// One hop of one statement, for the trace exporter.
+struct EmitSpan
+{
+  std::string trace_;  // W3C traceparent of this span
+  std::string parent_; // span id of the parent, 16 hex digits, or empty
+  std::string name_;
+  Time start_;
+  Time end_;
+  std::string detail_; // outcome or reason
+};
+
+using TrafficAction = std::variant<OpenConnection,
+                                   CloseConnection,
+                                   SendUpstream,
+                                   AnswerCaller,
+                                   SendPeer,
+                                   ReportSuspicion,
+                                   WriteNote,
+                                   EmitSpan>;
+using TrafficActions = std::vector<TrafficAction>;
+
+// Hands out ids that are unique within one process run.
+class IdSource
+{
+public:
+  std::uint64_t Next() { return next_++; }
+
+private:
+  std::uint64_t next_ = 1;
+};
+
+} // namespace jaydoor
--- /dev/null
+++ b/traffic/GroupWatch.cpp
@@ -0,0 +1,253 @@
+#include "traffic/GroupWatch.h"
+
+#include "base/Erase.h"
+
+#include <algorithm>
+#include <utility>
+#include <functional>
+
+namespace jaydoor {
+namespace {
+
+constexpr std::size_t kMaxSamples = 512;
+constexpr Duration kSampleSpacing = 20ms; // two samples lie this far apart
+constexpr Duration kReportAgain = 200ms; // a standing suspicion is repeated
+
+} // namespace
+
+GroupWatch::GroupWatch(DatabaseId aDatabase, ProbeTiming aTiming)
+  : database_(std::move(aDatabase))
+  , timing_(aTiming)
+{
+}
+
+void
+GroupWatch::SetView(const FleetView& aView, TrafficActions& aOut)
+{
+  const auto found = aView.databases_.find(database_);
+  const DatabaseView group =
+    found == aView.databases_.end() ? DatabaseView{} : found->second;
+  if (group.term_ != term_ || group.primary_ != primary_) {
+    samples_.clear();
+    reported_ = false;
+    for (auto& [id, member] : members_) {
+      member.answered_ = false;
+    }
+  }
+  primary_ = group.primary_;
+  term_ = group.term_;
+  groupSize_ = group.groupSize_;
+  for (const auto& id : group.servers_) {
+    const auto& info = aView.servers_.at(id).info_;
+    const auto port = static_cast<std::uint16_t>(info.port());
+    members_.try_emplace(id, StatusProbe(info.host(), port, timing_));
+  }
+  EraseWhere(members_, [&group, &aOut](const auto& aId, Member& aMember) {
+    const bool stays =
+      std::find(group.servers_.begin(), group.servers_.end(), aId) !=
+      group.servers_.end();
+    if (!stays) {
+      aMember.probe_.Close(aOut);
+    }
+    return !stays;
+  });
+}
+
+void
+GroupWatch::Tick(Time aNow, bool aWanted, IdSource& aIds, TrafficActions& aOut)
+{
+  for (auto& [id, member] : members_) {
+    member.probe_.Tick(aNow, aWanted, aIds, aOut);
+  }
+}
+
+Time
+GroupWatch::NextWake(bool aWanted) const
+{
+  Time next = Time::max();
+  for (const auto& [id, member] : members_) {
+    next = std::min(next, member.probe_.NextWake(aWanted));
+  }
+  return next;
+}
+
+GroupWatch::Member*
+GroupWatch::FindConnection(ConnectionId aId)
+{
+  for (auto& [id, member] : members_) {
+    if (member.probe_.Connection() == aId) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+bool
+GroupWatch::Opened(ConnectionId aId, Time aNow, TrafficActions& aOut)
+{
+  Member* member = FindConnection(aId);
+  if (member != nullptr) {
+    member->probe_.Opened(aNow, aOut);
+  }
+  return member != nullptr;
+}
+
+bool
+GroupWatch::Lost(ConnectionId aId, Time aNow)
+{
+  Member* member = FindConnection(aId);
+  if (member != nullptr) {
+    member->probe_.Lost(aNow);
+  }
+  return member != nullptr;
+}
+
+bool
+GroupWatch::Answered(ConnectionId aId,
+                     const UpstreamAnswer& aAnswer,
+                     Time aNow)
+{
+  for (auto& [id, member] : members_) {
+    if (member.probe_.Connection() == aId) {
+      const Time sentAt = member.probe_.Answered(aNow);
+      RecordStatus(id, member, sentAt, aAnswer);
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+GroupWatch::RecordStatus(const ServerId& aServer,
+                         Member& aMember,
+                         Time aSentAt,
+                         const UpstreamAnswer& aAnswer)
+{
+  aMember.point_ = aAnswer.point_;
+  aMember.promised_ = aAnswer.promised_;
+  aMember.answered_ = true;
+  if (aMember.promised_ <= term_) {
+    aMember.confirmedAt_ = aSentAt;
+  }
+  const bool primary =
+    aServer == primary_ && aAnswer.primary_ && aMember.promised_ == term_;
+  if (!primary) {
+    return;
+  }
+  const bool same =
+    !samples_.empty() && samples_.back().point_ == aAnswer.point_;
+  const bool close =
+    samples_.size() >= 2 &&
+    aSentAt - samples_[samples_.size() - 2].sentAt_ < kSampleSpacing;
+  if (same || close) {
+    samples_.back() = { aSentAt, aAnswer.point_ };
+  } else {
+    samples_.push_back({ aSentAt, aAnswer.point_ });
+  }
+  if (samples_.size() > kMaxSamples) {
+    samples_.pop_front();
+  }
+}
+
+bool
+GroupWatch::IsDurable(LogPoint aPoint) const
+{
+  std::size_t holders = 0;
+  for (const auto& [id, member] : members_) {
+    const bool holds = member.answered_ &&
+                       member.promised_ == aPoint.term_ &&
+                       member.point_.term_ == aPoint.term_ &&
+                       member.point_.position_ >= aPoint.position_;
+    holders += holds ? 1U : 0U;
+  }
+  return groupSize_ > 0 && holders >= Majority();
+}
+
+// The latest time at which a majority had promised no later term than the
+// primary's: until then nobody else was primary.
+std::optional<Time>
+GroupWatch::PrimacyTime() const
+{
+  std::vector<Time> times;
+  for (const auto& [id, member] : members_) {
+    if (member.answered_ && member.promised_ <= term_) {
+      times.push_back(member.confirmedAt_);
+    }
+  }
+  if (groupSize_ == 0 || times.size() < Majority()) {
+    return std::nullopt;
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[Majority() - 1];
+}
+
+std::optional<Time>
+GroupWatch::FreshAsOf(const ServerId& aServer, LogPoint aPoint) const
+{
+  const auto primacy = PrimacyTime();
+  if (!primacy || aPoint.term_ > term_) {
+    return std::nullopt;
+  }
+  if (aServer == primary_) {
+    return primacy;
+  }
+  // The log of a term only grows: what contains the primary's log of a
+  // sample contains all that was acknowledged before it.
+  for (auto at = samples_.rbegin(); at != samples_.rend(); ++at) {
+    if (at->point_ <= aPoint) {
+      return std::min(at->sentAt_, *primacy);
+    }
+  }
+  return std::nullopt;
+}
+
+LogPoint
+GroupWatch::PointOf(const ServerId& aServer) const
+{
+  const auto found = members_.find(aServer);
+  return found == members_.end() ? LogPoint{} : found->second.point_;
+}
+
+bool
+GroupWatch::IsUnreachable(const ServerId& aServer) const
+{
+  const auto found = members_.find(aServer);
+  return found == members_.end() || found->second.probe_.IsUnreachable();
+}
+
+Time
+GroupWatch::LastAnswer(const ServerId& aServer) const
+{
+  const auto found = members_.find(aServer);
+  return found == members_.end() ? Time{} : found->second.probe_.LastAnswer();
+}
+
+bool
+GroupWatch::IsPrimaryCurrent() const
+{
+  const auto found = members_.find(primary_);
+  return found != members_.end() && found->second.promised_ <= term_;
+}
+
+std::optional<wire::Suspicion>
+GroupWatch::TakeSuspicion(Time aNow)
+{
+  if (primary_.empty()) {
+    return std::nullopt;
+  }
+  const bool suspected = IsUnreachable(primary_);
+  const bool due = suspected && aNow - reportedAt_ >= kReportAgain;
+  if (suspected == reported_ && !due) {
+    return std::nullopt;
+  }
+  reported_ = suspected;
+  reportedAt_ = aNow;
+  wire::Suspicion suspicion;
+  suspicion.set_database(database_);
+  suspicion.set_server(primary_);
+  suspicion.set_term(term_);
+  suspicion.set_suspected(suspected);
+  return suspicion;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/traffic/RetryBudget.h
@@ -0,0 +1,35 @@
+#pragma once
+
+// Bounds retries to a share of the traffic, so that they never amplify a
+// flood.
+
+#include "base/Time.h"
+
+#include <algorithm>
+
+namespace jaydoor {
+
+class RetryBudget
+{
+public:
+  // Each first attempt earns a part of a retry.
+  void NoteAttempt() { tokens_ = std::min(kMaxTokens, tokens_ + kEarned); }
+
+  // Takes one retry. False if the budget is spent.
+  bool Take()
+  {
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+private:
+  static constexpr double kEarned = 0.2;     // retries per first attempt
+  static constexpr double kMaxTokens = 100;  // retries saved up at most
+
+  double tokens_ = kMaxTokens;
+};
+
+} // namespace jaydoor
--- /dev/null
+++ b/traffic/Session.cpp
@@ -0,0 +1,151 @@
+#include "traffic/Session.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/hmac.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr std::string_view kVersion = "s1";
+constexpr std::size_t kMacBytes = 16; // of SHA-256's 32
+
+std::string
+SignText(const std::string& aKey, std::string_view aText)
+{
+  std::array<unsigned char, EVP_MAX_MD_SIZE> mac{};
+  unsigned int size = 0;
+  HMAC(EVP_sha256(),
+       aKey.data(),
+       static_cast<int>(aKey.size()),
+       reinterpret_cast<const unsigned char*>(aText.data()),
+       aText.size(),
+       mac.data(),
+       &size);
+  std::string hex;
+  hex.reserve(2 * kMacBytes);
+  for (std::size_t i = 0; i < kMacBytes; i++) {
+    fmt::format_to(std::back_inserter(hex), "{:02x}", mac[i]);
+  }
+  return hex;
+}
+
+bool
+IsSameText(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         CRYPTO_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+// Takes the text up to `aEnd` off the front of `aText`.
+std::string_view
+TakeUntil(std::string_view& aText, char aEnd)
+{
+  const std::size_t at = std::min(aText.find(aEnd), aText.size());
+  const std::string_view part = aText.substr(0, at);
+  aText.remove_prefix(std::min(at + 1, aText.size()));
+  return part;
+}
+
+std::optional<std::uint64_t>
+ParseCount(std::string_view aText)
+{
+  std::uint64_t count = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), count);
+  if (error != std::errc{} || end != aText.data() + aText.size()) {
+    return std::nullopt;
+  }
+  return count;
+}
+
+tl::unexpected<Error>
+TokenError(std::string_view aProblem)
+{
+  return MakeError(ErrorKind::Forged,
+                   fmt::format("the session token {}; send the token of the "
+                               "last answer unchanged, or none",
+                               aProblem));
+}
+
+} // namespace
+
+LogPoint
+SessionState::PointOf(const DatabaseId& aDatabase) const
+{
+  const auto found = seen_.find(aDatabase);
+  return found == seen_.end() ? LogPoint{} : found->second;
+}
+
+void
+SessionState::Raise(const DatabaseId& aDatabase, LogPoint aPoint)
+{
+  LogPoint& point = seen_[aDatabase];
+  point = std::max(point, aPoint);
+}
+
+bool
+SessionState::IsFullFor(const DatabaseId& aDatabase) const
+{
+  return seen_.size() >= kMaxSessionDatabases && !seen_.contains(aDatabase);
+}
+
+SessionSigner::SessionSigner(std::span<const std::string> aKeys)
+  : keys_(aKeys.begin(), aKeys.end())
+{
+}
+
+// Form: s1!database:term:position!...!mac
+std::string
+SessionSigner::Issue(const SessionState& aState) const
+{
+  std::string text(kVersion);
+  for (const auto& [database, point] : aState.seen_) {
+    fmt::format_to(std::back_inserter(text),
+                   "!{}:{}:{}",
+                   database,
+                   point.term_,
+                   point.position_);
+  }
+  return text + '!' + SignText(keys_.front(), text);
+}
+
+Expected<SessionState>
+SessionSigner::Read(std::string_view aToken) const
+{
+  if (aToken.empty()) {
+    return SessionState{};
+  }
+  const std::size_t end = aToken.rfind('!');
+  if (end == std::string_view::npos) {
+    return TokenError("is cut short");
+  }
+  std::string_view text = aToken.substr(0, end);
+  const std::string_view mac = aToken.substr(end + 1);
+  bool known = false;
+  for (const auto& key : keys_) {
+    known = known || IsSameText(SignText(key, text), mac);
+  }
+  if (!known) {
+    return TokenError("was not signed by this fleet");
+  }
+  if (TakeUntil(text, '!') != kVersion) {
+    return TokenError("is of another version");
+  }
+  SessionState state;
+  while (!text.empty()) {
+    std::string_view entry = TakeUntil(text, '!');
+    const DatabaseId database(TakeUntil(entry, ':'));
+    const auto term = ParseCount(TakeUntil(entry, ':'));
+    const auto position = ParseCount(entry);
+    if (!term || !position || state.IsFullFor(database)) {
+      return TokenError("is unreadable");
+    }
+    state.Raise(database, { *term, *position });
+  }
+  return state;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/traffic/TrafficNode.cpp
@@ -0,0 +1,406 @@
+#include "traffic/TrafficNode.h"
+
+#include "base/Erase.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr Duration kMaxWake = 100ms;
+
+constexpr std::uint64_t kSpanSeed = 0x5eed; // keeps span ids of owners apart
+
+} // namespace
+
+TrafficNode::TrafficNode(TrafficConfig aConfig)
+  : config_(std::move(aConfig))
+  , view_(std::make_shared<FleetView>())
+  , router_(config_.self_,
+            config_.zone_,
+            SessionSigner(config_.sessionKeys_),
+            config_.seed_)
+  , random_(config_.seed_ ^ kSpanSeed)
+{
+}
+
+void
+TrafficNode::Step(TrafficEvent aEvent, Time aNow, TrafficActions& aOut)
+{
+  std::visit([&](auto& aCase) { Handle(aCase, aNow, aOut); }, aEvent);
+  Settle(aNow, aOut);
+}
+
+void
+TrafficNode::Handle(TakeView& aEvent, Time aNow, TrafficActions& aOut)
+{
+  view_ = std::move(aEvent.view_);
+  router_.SetView(view_, aNow);
+  std::vector<DatabaseId> watched;
+  for (const auto& [id, server] : view_->servers_) {
+    const bool owned =
+      !draining_ &&
+      ChooseOwner(server.info_, view_->vms_) == config_.self_;
+    if (owned) {
+      owners_.try_emplace(id, server.info_, config_.self_, config_.owner_);
+      watched.push_back(server.info_.database());
+    }
+  }
+  for (auto& [id, owner] : owners_) {
+    const auto found = view_->servers_.find(id);
+    const bool owned =
+      !draining_ && found != view_->servers_.end() &&
+      ChooseOwner(found->second.info_, view_->vms_) == config_.self_;
+    owner.SetView(*view_, owned, aOut);
+    if (!owned && !owner.IsIdle()) {
+      watched.push_back(owner.Info().database());
+    }
+  }
+  for (const auto& database : watched) {
+    watches_.try_emplace(database, database, config_.probe_);
+  }
+  EraseWhere(watches_, [&](const DatabaseId& aId, GroupWatch& aWatch) {
+    const bool wanted =
+      std::find(watched.begin(), watched.end(), aId) != watched.end();
+    if (!wanted) {
+      aWatch.SetView(FleetView{}, aOut);
+    }
+    return !wanted;
+  });
+  for (auto& [database, watch] : watches_) {
+    watch.SetView(*view_, aOut);
+  }
+}
+
+void
+TrafficNode::Handle(TakeCaller& aEvent, Time aNow, TrafficActions&)
+{
+  counters_.statements_++;
+  router_.Start(aEvent.request_, std::move(aEvent.body_), aNow);
+}
+
+void
+TrafficNode::Handle(TakeCallerGone& aEvent, Time, TrafficActions&)
+{
+  router_.Abandon(aEvent.request_);
+}
+
+void
+TrafficNode::Handle(TakePeer& aEvent, Time aNow, TrafficActions&)
+{
+  const wire::TrafficMessage& message = aEvent.message_;
+  const Duration late = delays_[message.from()].Note(message.sent_us(), aNow);
+  switch (message.body_case()) {
+    case wire::TrafficMessage::kForward:
+      counters_.forwardsIn_++;
+      AcceptForward(message.from(), message.forward(), late, aNow);
+      break;
+    case wire::TrafficMessage::kReply:
+      router_.TakeReply(message.reply(), aNow);
+      break;
+    case wire::TrafficMessage::kCancel:
+      for (auto& [id, owner] : owners_) {
+        owner.Cancel({ message.from(), message.cancel().request() });
+      }
+      break;
+    case wire::TrafficMessage::BODY_NOT_SET:
+      break;
+  }
+}
+
+void
+TrafficNode::Handle(TakePeerUnsent& aEvent, Time aNow, TrafficActions&)
+{
+  if (aEvent.message_.has_forward()) {
+    router_.TakeUnsent(aEvent.message_.forward().request(), aNow);
+  }
+}
+
+void
+TrafficNode::Handle(TakeOpened& aEvent, Time aNow, TrafficActions& aOut)
+{
+  for (auto& [id, owner] : owners_) {
+    if (owner.Opened(aEvent.connection_, aNow)) {
+      return;
+    }
+  }
+  for (auto& [database, watch] : watches_) {
+    if (watch.Opened(aEvent.connection_, aNow, aOut)) {
+      return;
+    }
+  }
+  aOut.push_back(CloseConnection{ aEvent.connection_ });
+}
+
+void
+TrafficNode::Handle(TakeLost& aEvent, Time aNow, TrafficActions&)
+{
+  for (auto& [id, owner] : owners_) {
+    if (owner.Lost(aEvent.connection_, aNow)) {
+      return;
+    }
+  }
+  for (auto& [database, watch] : watches_) {
+    if (watch.Lost(aEvent.connection_, aNow)) {
+      return;
+    }
+  }
+}
+
+void
+TrafficNode::Handle(TakeAnswer& aEvent, Time aNow, TrafficActions&)
+{
+  for (auto& [id, owner] : owners_) {
+    if (owner.Answered(aEvent.connection_, aEvent.answer_, aNow)) {
+      return;
+    }
+  }
+  for (auto& [database, watch] : watches_) {
+    if (watch.Answered(aEvent.connection_, aEvent.answer_, aNow)) {
+      return;
+    }
+  }
+}
+
+void
+TrafficNode::Handle(TakeDrain&, Time aNow, TrafficActions& aOut)
+{
+  draining_ = true;
+  router_.StartDraining();
+  TakeView again{ view_ };
+  Handle(again, aNow, aOut);
+}
+
+void
+TrafficNode::Handle(TakeTick&, Time aNow, TrafficActions&)
+{
+  router_.Tick(aNow);
+}
+
+void
+TrafficNode::AcceptForward(const VmId& aFrom,
+                           const wire::Forward& aForward,
+                           Duration aLate,
+                           Time aNow)
+{
+  OwnedStatement statement;
+  statement.replyTo_ = { aFrom, aForward.request() };
+  statement.statement_ = aForward.statement();
+  statement.term_ = aForward.term();
+  statement.minPoint_ = { aForward.min_point().term(),
+                          aForward.min_point().position() };
+  statement.maxAge_ = Duration(aForward.max_age_us());
+  statement.deadline_ = aNow + Duration(aForward.remaining_us()) - aLate;
+  if (!aForward.trace().empty()) {
+    traces_[{ aFrom, aForward.request() }] = aForward.trace();
+  }
+  const bool valid = aForward.statement().rank() < kRankCount;
+  auto found = owners_.find(aForward.server());
+  if (found == owners_.end() || !valid) {
+    // Not known as an owner here: an owner without the server says so.
+    wire::Upstream unknown;
+    unknown.set_server(aForward.server());
+    found = owners_
+              .try_emplace(
+                aForward.server(), unknown, config_.self_, config_.owner_)
+              .first;
+    statement.statement_.set_rank(0);
+  }
+  static const GroupWatch kNoWatch("", ProbeTiming{});
+  const auto watch = watches_.find(found->second.Info().database());
+  found->second.Accept(std::move(statement),
+                       aNow,
+                       watch == watches_.end() ? kNoWatch : watch->second);
+}
+
+bool
+TrafficNode::WantsProof(const DatabaseId& aDatabase) const
+{
+  return std::any_of(
+    owners_.begin(), owners_.end(), [&aDatabase](const auto& aEntry) {
+      return aEntry.second.Info().database() == aDatabase &&
+             aEntry.second.WantsProof();
+    });
+}
+
+void
+TrafficNode::TickOwners(Time aNow, TrafficActions& aOut)
+{
+  static const GroupWatch kNoWatch("", ProbeTiming{});
+  for (auto& [id, owner] : owners_) {
+    const auto watch = watches_.find(owner.Info().database());
+    owner.Tick(
+      aNow, watch == watches_.end() ? kNoWatch : watch->second, ids_, aOut);
+  }
+  for (auto& [database, watch] : watches_) {
+    watch.Tick(aNow, WantsProof(database), ids_, aOut);
+    auto suspicion = watch.TakeSuspicion(aNow);
+    if (suspicion) {
+      aOut.push_back(ReportSuspicion{ std::move(*suspicion) });
+    }
+  }
+  EraseWhere(owners_, [&](const ServerId& aId, UpstreamOwner& aOwner) {
+    const bool done = aOwner.IsIdle() && !view_->servers_.contains(aId);
+    if (done) {
+      aOwner.CloseAll(aOut);
+    }
+    return done;
+  });
+}
+
+// Runs owners and router until neither has anything more to say.
+void
+TrafficNode::Settle(Time aNow, TrafficActions& aOut)
+{
+  const std::size_t before = aOut.size();
+  do {
+    TickOwners(aNow, aOut);
+  } while (PassOn(aNow, aOut));
+  for (auto& action : router_.TakeActions()) {
+    aOut.push_back(std::move(action));
+  }
+  for (std::size_t i = before; i < aOut.size(); i++) {
+    const auto* sent = std::get_if<SendUpstream>(&aOut[i]);
+    if (sent != nullptr) {
+      const bool status = sent->request_.op_ == UpstreamOp::Status;
+      (status ? counters_.statusCalls_ : counters_.upstreamCalls_)++;
+    }
+  }
+}
+
+// Moves forwards and replies; true if one stayed within this VM, so that
+// there is more to do.
+bool
+TrafficNode::PassOn(Time aNow, TrafficActions& aOut)
+{
+  bool local = false;
+  for (auto& cancel : router_.TakeCancels()) {
+    SendPeer send;
+    send.to_ = cancel.owner_;
+    send.message_.mutable_cancel()->set_request(cancel.request_);
+    if (cancel.owner_ == config_.self_) {
+      for (auto& [id, owner] : owners_) {
+        owner.Cancel({ config_.self_, cancel.request_ });
+      }
+    } else {
+      aOut.push_back(std::move(send));
+    }
+  }
+  for (auto& out : router_.TakeForwards()) {
+    if (out.owner_ == config_.self_) {
+      AcceptForward(config_.self_, out.forward_, Duration::zero(), aNow);
+      local = true;
+      continue;
+    }
+    counters_.forwardsOut_++;
+    SendPeer send;
+    send.to_ = out.owner_;
+    *send.message_.mutable_forward() = std::move(out.forward_);
+    aOut.push_back(std::move(send));
+  }
+  for (auto& [id, owner] : owners_) {
+    for (auto& reply : owner.TakeReplies()) {
+      local = local || reply.to_.vm_ == config_.self_;
+      SendReply(reply, aNow, aOut);
+    }
+  }
+  return local;
+}
+
+void
+TrafficNode::SendReply(OwnerReply& aReply, Time aNow, TrafficActions& aOut)
+{
+  EmitOwnerSpans(aReply, aNow, aOut);
+  if (aReply.to_.vm_ == config_.self_) {
+    CountRead(aReply.reply_.server(), aReply.reply_);
+    router_.TakeReply(aReply.reply_, aNow);
+    return;
+  }
+  CountRead(aReply.reply_.server(), aReply.reply_);
+  SendPeer send;
+  send.to_ = aReply.to_.vm_;
+  *send.message_.mutable_reply() = std::move(aReply.reply_);
+  aOut.push_back(std::move(send));
+}
+
+void
+TrafficNode::CountRead(const ServerId& aServer,
+                       const wire::ForwardReply& aReply)
+{
+  const auto found = view_->servers_.find(aServer);
+  const bool done = aReply.outcome() == static_cast<unsigned>(Outcome::Done);
+  if (!done || found == view_->servers_.end()) {
+    return;
+  }
+  const auto group =
+    view_->databases_.find(found->second.info_.database());
+  const bool primary =
+    group != view_->databases_.end() && group->second.primary_ == aServer;
+  (primary ? counters_.primaryReads_ : counters_.replicaReads_)++;
+}
+
+void
+TrafficNode::EmitOwnerSpans(const OwnerReply& aReply,
+                            Time aNow,
+                            TrafficActions& aOut)
+{
+  const auto found = traces_.find({ aReply.to_.vm_, aReply.to_.request_ });
+  if (found == traces_.end()) {
+    return;
+  }
+  const std::string parent = found->second;
+  traces_.erase(found);
+  const std::string traceId = parent.substr(3, 32);
+  const std::string ownerSpan = fmt::format("{:016x}", random_());
+  EmitSpan owner;
+  owner.trace_ = fmt::format("00-{}-{}-01", traceId, ownerSpan);
+  owner.parent_ = parent.substr(36, 16);
+  owner.name_ = "owner";
+  const Duration queue(aReply.reply_.queue_us());
+  const Duration upstream(aReply.reply_.upstream_us());
+  owner.start_ = aNow - queue - upstream;
+  owner.end_ = aNow;
+  owner.detail_ = ToText(static_cast<Reason>(aReply.reply_.reason()));
+  aOut.push_back(owner);
+  if (upstream > Duration::zero()) {
+    EmitSpan call;
+    call.trace_ =
+      fmt::format("00-{}-{:016x}-01", traceId, random_());
+    call.parent_ = ownerSpan;
+    call.name_ = "upstream";
+    call.start_ = aNow - upstream;
+    call.end_ = aNow;
+    call.detail_ = aReply.reply_.server();
+    aOut.push_back(std::move(call));
+  }
+}
+
+Time
+TrafficNode::NextWake(Time aNow) const
+{
+  Time next = aNow + kMaxWake;
+  for (const auto& [id, owner] : owners_) {
+    next = std::min(next, owner.NextWake(aNow));
+  }
+  for (const auto& [database, watch] : watches_) {
+    next = std::min(next, watch.NextWake(WantsProof(database)));
+  }
+  if (router_.InFlight() > 0) {
+    next = std::min(next, aNow + Duration(5ms));
+  }
+  return std::max(next, aNow + Duration(200us));
+}
+
+bool
+TrafficNode::IsIdle() const
+{
+  const bool owners =
+    std::all_of(owners_.begin(), owners_.end(), [](const auto& aEntry) {
+      return aEntry.second.IsIdle();
+    });
+  return owners && router_.InFlight() == 0;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/traffic/TrafficNode.h
@@ -0,0 +1,168 @@
+#pragma once
+
+// All traffic decisions of one VM behind one entry point.
+//
+//   TrafficNode node(config);
+//   node.Step(TakeView{ view }, now, actions);
+//   node.Step(TakeCaller{ id, request }, now, actions);
+//   // the shell performs `actions` and brings back events
+//
+// Sections:
+//   1. Events
+//   2. The node
+//
+// The node reads no clock and opens no socket: the same events and seed give
+// the same actions. Many nodes can run in one process.
+
+#include "traffic/DelayEstimate.h"
+#include "traffic/StatementRouter.h"
+#include "traffic/UpstreamOwner.h"
+
+#include <variant>
+
+namespace jaydoor {
+
+// ---- 1. Events
+
+struct TakeView
+{
+  FleetViewPtr view_;
+};
+
+struct TakeCaller
+{
+  RequestId request_ = 0;
+  CallerRequest body_;
+};
+
+struct TakeCallerGone
+{
+  RequestId request_ = 0;
+};
+
+struct TakePeer
+{
+  wire::TrafficMessage message_;
+};
+
+// The link could not take the message; it will not be sent.
+struct TakePeerUnsent
+{
+  wire::TrafficMessage message_;
+};
+
+struct TakeOpened
+{
+  ConnectionId connection_ = 0;
+};
+
+// Opening failed, or the connection was closed from the other side.
+struct TakeLost
+{
+  ConnectionId connection_ = 0;
+};
+
+struct TakeAnswer
+{
+  ConnectionId connection_ = 0;
+  UpstreamAnswer answer_;
+};
+
+struct TakeDrain
+{
+};
+
+struct TakeTick
+{
+};
+
+using TrafficEvent = std::variant<TakeView,
+                                  TakeCaller,
+                                  TakeCallerGone,
+                                  TakePeer,
+                                  TakePeerUnsent,
+                                  TakeOpened,
+                                  TakeLost,
+                                  TakeAnswer,
+                                  TakeDrain,
+                                  TakeTick>;
+
+// ---- 2. The node
+
+struct TrafficConfig
+{
+  VmId self_;
+  ZoneId zone_;
+  std::vector<std::string> sessionKeys_; // the first one signs
+  std::uint64_t seed_ = 1;
+  ProbeTiming probe_;
+  OwnerTiming owner_;
+};
+
+// Figures for metrics; totals since the start.
+struct TrafficCounters
+{
+  std::uint64_t statements_ = 0;
+  std::uint64_t replicaReads_ = 0; // answered by a replica
+  std::uint64_t primaryReads_ = 0;
+  std::uint64_t forwardsOut_ = 0;  // to other VMs
+  std::uint64_t forwardsIn_ = 0;
+  std::uint64_t upstreamCalls_ = 0;
+  std::uint64_t statusCalls_ = 0;
+};
+
+class TrafficNode
+{
+public:
+  explicit TrafficNode(TrafficConfig aConfig);
+
+  void Step(TrafficEvent aEvent, Time aNow, TrafficActions& aOut);
+
+  // When a TakeTick is due at the latest.
+  Time NextWake(Time aNow) const;
+
+  // True once nothing is in flight: a draining node may stop.
+  bool IsIdle() const;
+  const TrafficCounters& Counters() const { return counters_; }
+  std::size_t InFlight() const { return router_.InFlight(); }
+  const std::map<ServerId, UpstreamOwner>& Owners() const { return owners_; }
+  const std::map<DatabaseId, GroupWatch>& Watches() const { return watches_; }
+
+private:
+  void Handle(TakeView& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakeCaller& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakeCallerGone& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakePeer& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakePeerUnsent& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakeOpened& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakeLost& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakeAnswer& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakeDrain& aEvent, Time aNow, TrafficActions& aOut);
+  void Handle(TakeTick& aEvent, Time aNow, TrafficActions& aOut);
+
+  void AcceptForward(const VmId& aFrom,
+                     const wire::Forward& aForward,
+                     Duration aLate,
+                     Time aNow);
+  void Settle(Time aNow, TrafficActions& aOut);
+  void TickOwners(Time aNow, TrafficActions& aOut);
+  bool PassOn(Time aNow, TrafficActions& aOut);
+  void SendReply(OwnerReply& aReply, Time aNow, TrafficActions& aOut);
+  void CountRead(const ServerId& aServer, const wire::ForwardReply& aReply);
+  bool WantsProof(const DatabaseId& aDatabase) const;
+  void EmitOwnerSpans(const OwnerReply& aReply, Time aNow, TrafficActions& aOut);
+
+  TrafficConfig config_;
+  IdSource ids_;
+  FleetViewPtr view_;
+  StatementRouter router_;
+  std::map<ServerId, UpstreamOwner> owners_;
+  std::map<DatabaseId, GroupWatch> watches_;
+  std::map<VmId, DelayEstimate> delays_;
+  std::map<std::pair<VmId, RequestId>, std::string> traces_;
+  std::mt19937_64 random_;
+  TrafficCounters counters_;
+  bool draining_ = false;
+};
+
+} // namespace jaydoor
--- /dev/null
+++ b/traffic/UpstreamOwner.cpp
@@ -0,0 +1,760 @@
+#include "traffic/UpstreamOwner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr Duration kOpenPause = 50ms;      // after a failed connection
+constexpr Duration kReplyMargin = 5ms;     // for the way back to the caller
+constexpr Duration kKeepIdle = 30s;        // idle connections above the slots
+constexpr int kMaxAttempts = 3;            // sends of one statement by an owner
+constexpr std::size_t kMaxTransactions = 1024;
+
+TransactionStep
+StepOf(const OwnedStatement& aStatement)
+{
+  return static_cast<TransactionStep>(aStatement.statement_.transaction_step());
+}
+
+bool
+IsRead(const OwnedStatement& aStatement)
+{
+  return aStatement.statement_.read() &&
+         StepOf(aStatement) == TransactionStep::None;
+}
+
+// True if running it twice is the same as running it once.
+bool
+IsSafeTwice(const OwnedStatement& aStatement)
+{
+  return StepOf(aStatement) == TransactionStep::None &&
+         (aStatement.statement_.read() || aStatement.statement_.repeatable());
+}
+
+// True if its effect has to be on a majority before it is acknowledged.
+bool
+NeedsMajority(const OwnedStatement& aStatement)
+{
+  const TransactionStep step = StepOf(aStatement);
+  return step == TransactionStep::Commit ||
+         (step == TransactionStep::None && !aStatement.statement_.read());
+}
+
+} // namespace
+
+UpstreamOwner::UpstreamOwner(wire::Upstream aInfo,
+                             VmId aSelf,
+                             OwnerTiming aTiming)
+  : info_(std::move(aInfo))
+  , self_(std::move(aSelf))
+  , timing_(aTiming)
+{
+}
+
+void
+UpstreamOwner::SetView(const FleetView& aView,
+                       bool aOwned,
+                       TrafficActions& aOut)
+{
+  const auto found = aView.servers_.find(info_.server());
+  owned_ = aOwned && found != aView.servers_.end();
+  if (found != aView.servers_.end()) {
+    const auto& info = found->second.info_;
+    const bool moved =
+      info.host() != info_.host() || info.port() != info_.port();
+    info_ = info;
+    if (moved) {
+      CloseAll(aOut);
+    }
+  }
+  const auto group = aView.databases_.find(info_.database());
+  const bool known = group != aView.databases_.end();
+  primary_ = known && group->second.primary_ == info_.server();
+  term_ = known ? group->second.term_ : 0;
+  rules_ = aView.rules_;
+  queue_.SetPolicy(info_.slots(), rules_.floors_);
+}
+
+bool
+UpstreamOwner::IsTransactionStep(const OwnedStatement& aStatement) const
+{
+  return StepOf(aStatement) > TransactionStep::Begin;
+}
+
+// Why the statement can't run here, if that is known before it is sent.
+std::optional<Reason>
+UpstreamOwner::FindRefusal(const OwnedStatement& aStatement,
+                           const GroupWatch& aWatch,
+                           Time aNow) const
+{
+  if (!owned_) {
+    return Reason::NotOwner;
+  }
+  if (info_.leaving()) {
+    return Reason::Leaving;
+  }
+  if (!rules_.TakesTraffic(info_.server())) {
+    return Reason::RuleForbids;
+  }
+  if (!IsRead(aStatement) && !primary_) {
+    return Reason::NotPrimary;
+  }
+  if (aStatement.term_ > term_) {
+    return Reason::NotOwner; // this VM's view is behind the sender's
+  }
+  if (IsRead(aStatement) && !primary_) {
+    const auto fresh =
+      aWatch.FreshAsOf(info_.server(), aWatch.PointOf(info_.server()));
+    if (!fresh || *fresh < aNow - aStatement.maxAge_) {
+      return Reason::Stale;
+    }
+  }
+  return std::nullopt;
+}
+
+// Finds the transaction that a step belongs to. Handle: vm/server/number.
+bool
+UpstreamOwner::AttachTransaction(OwnedStatement& aStatement)
+{
+  const std::string& handle = aStatement.statement_.transaction();
+  const std::string prefix = fmt::format("{}/{}/", self_, info_.server());
+  if (!handle.starts_with(prefix)) {
+    return false;
+  }
+  for (auto& [id, transaction] : transactions_) {
+    if (handle == fmt::format("{}{}", prefix, id) && !transaction.busy_) {
+      aStatement.transactionId_ = id;
+      transaction.busy_ = true;
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+UpstreamOwner::Accept(OwnedStatement aStatement,
+                      Time aNow,
+                      const GroupWatch& aWatch)
+{
+  aStatement.arrivedAt_ = aNow;
+  aStatement.deadline_ -= kReplyMargin;
+  if (IsTransactionStep(aStatement)) {
+    if (!AttachTransaction(aStatement)) {
+      Reply(aStatement, Outcome::NotRun, Reason::TransactionLost, aNow);
+      return;
+    }
+    const std::uint64_t id = nextId_++;
+    statements_[id] = std::move(aStatement);
+    pinned_.push_back(id);
+    return;
+  }
+  const auto refusal = FindRefusal(aStatement, aWatch, aNow);
+  if (refusal) {
+    Reply(aStatement, Outcome::NotRun, *refusal, aNow);
+    return;
+  }
+  const std::uint64_t id = nextId_++;
+  QueuedItem item;
+  item.id_ = id;
+  item.rank_ = static_cast<Rank>(aStatement.statement_.rank());
+  item.customer_ = aStatement.statement_.customer();
+  item.weight_ = rules_.WeightOf(item.customer_);
+  item.deadline_ = aStatement.deadline_;
+  item.queuedAt_ = aNow;
+  const auto full = queue_.Push(std::move(item), aNow);
+  if (full) {
+    Reply(aStatement, Outcome::NotRun, *full, aNow);
+    return;
+  }
+  statements_[id] = std::move(aStatement);
+}
+
+void
+UpstreamOwner::Cancel(const ReplyAddress& aAddress)
+{
+  for (const auto& [id, statement] : statements_) {
+    const bool same = statement.replyTo_.vm_ == aAddress.vm_ &&
+                      statement.replyTo_.request_ == aAddress.request_;
+    if (same && queue_.Remove(id)) {
+      statements_.erase(id);
+      return;
+    }
+  }
+}
+
+void
+UpstreamOwner::Reply(const OwnedStatement& aStatement,
+                     Outcome aOutcome,
+                     Reason aReason,
+                     Time aNow)
+{
+  OwnerReply reply;
+  reply.to_ = aStatement.replyTo_;
+  wire::ForwardReply& message = reply.reply_;
+  message.set_request(aStatement.replyTo_.request_);
+  message.set_outcome(static_cast<std::uint32_t>(aOutcome));
+  message.set_reason(static_cast<std::uint32_t>(aReason));
+  message.set_server(info_.server());
+  const UpstreamAnswer& answer = aStatement.answer_;
+  if (aOutcome == Outcome::Done) {
+    message.mutable_point()->set_term(answer.point_.term_);
+    message.mutable_point()->set_position(answer.point_.position_);
+    for (const auto& row : answer.rows_) {
+      message.add_rows(row);
+    }
+  } else if (aOutcome == Outcome::Failed && !answer.detail_.empty()) {
+    message.add_rows(answer.detail_);
+  }
+  if (aStatement.transactionId_ != 0 && aOutcome != Outcome::NotRun) {
+    message.set_transaction(fmt::format(
+      "{}/{}/{}", self_, info_.server(), aStatement.transactionId_));
+  }
+  const bool ran = aStatement.sentAt_ != Time{};
+  const Time left = ran ? aStatement.sentAt_ : aNow;
+  message.set_queue_us((left - aStatement.arrivedAt_).count());
+  const bool answered = aStatement.ranUntil_ != Time{};
+  message.set_upstream_us(
+    answered ? (aStatement.ranUntil_ - aStatement.sentAt_).count() : 0);
+  replies_.push_back(std::move(reply));
+}
+
+void
+UpstreamOwner::ReplyById(std::uint64_t aId,
+                         Outcome aOutcome,
+                         Reason aReason,
+                         Time aNow)
+{
+  const auto found = statements_.find(aId);
+  if (found == statements_.end()) {
+    return;
+  }
+  Reply(found->second, aOutcome, aReason, aNow);
+  statements_.erase(found);
+}
+
+std::vector<OwnerReply>
+UpstreamOwner::TakeReplies()
+{
+  return std::exchange(replies_, {});
+}
+
+bool
+UpstreamOwner::IsIdle() const
+{
+  return statements_.empty() && transactions_.empty();
+}
+
+std::size_t
+UpstreamOwner::ConnectionLimit() const
+{
+  const auto share = static_cast<std::size_t>(timing_.connectionShare_ *
+                                              info_.connection_limit());
+  return std::max<std::size_t>(1, share);
+}
+
+// ---- Connections
+
+bool
+UpstreamOwner::Opened(ConnectionId aId, Time aNow)
+{
+  const auto found = connections_.find(aId);
+  if (found == connections_.end()) {
+    return false;
+  }
+  found->second.use_ = Use::Idle;
+  found->second.since_ = aNow;
+  found->second.provenAt_ = aNow;
+  return true;
+}
+
+bool
+UpstreamOwner::Lost(ConnectionId aId, Time aNow)
+{
+  const auto found = connections_.find(aId);
+  if (found == connections_.end()) {
+    return false;
+  }
+  const Connection connection = found->second;
+  connections_.erase(found);
+  if (connection.use_ == Use::Opening) {
+    openNotBefore_ = aNow + kOpenPause;
+  }
+  if (connection.transaction_ != 0) {
+    transactions_.erase(connection.transaction_);
+  }
+  if (connection.use_ == Use::Running) {
+    running_--;
+    SettleLost(connection.statement_, aNow);
+  }
+  return true;
+}
+
+// The connection is gone and the statement it carried has no answer.
+void
+UpstreamOwner::SettleLost(std::uint64_t aId, Time aNow)
+{
+  const auto found = statements_.find(aId);
+  if (found == statements_.end()) {
+    return;
+  }
+  OwnedStatement& statement = found->second;
+  const TransactionStep step = StepOf(statement);
+  const bool rolledBack = step == TransactionStep::Begin ||
+                          step == TransactionStep::Inside ||
+                          step == TransactionStep::Rollback;
+  if (rolledBack) {
+    // The upstream rolls back what its connection leaves uncommitted.
+    statement.transactionId_ = 0;
+    ReplyById(aId, Outcome::NotRun, Reason::TransactionLost, aNow);
+  } else if (IsSafeTwice(statement) && statement.attempts_ < kMaxAttempts) {
+    Requeue(aId, aNow);
+  } else {
+    ReplyById(aId, Outcome::Unknown, Reason::Unreachable, aNow);
+  }
+}
+
+void
+UpstreamOwner::Requeue(std::uint64_t aId, Time aNow)
+{
+  const OwnedStatement& statement = statements_.at(aId);
+  QueuedItem item;
+  item.id_ = aId;
+  item.rank_ = static_cast<Rank>(statement.statement_.rank());
+  item.customer_ = statement.statement_.customer();
+  item.weight_ = rules_.WeightOf(item.customer_);
+  item.deadline_ = statement.deadline_;
+  item.queuedAt_ = statement.arrivedAt_;
+  const auto refused = queue_.Push(std::move(item), aNow);
+  if (refused) {
+    const Outcome outcome =
+      statement.attempts_ > 0 ? Outcome::Unknown : Outcome::NotRun;
+    ReplyById(aId, outcome, *refused, aNow);
+  }
+}
+
+bool
+UpstreamOwner::Answered(ConnectionId aId, UpstreamAnswer aAnswer, Time aNow)
+{
+  const auto found = connections_.find(aId);
+  if (found == connections_.end()) {
+    return false;
+  }
+  Connection& connection = found->second;
+  connection.provenAt_ = aNow;
+  if (connection.use_ == Use::Running) {
+    const std::uint64_t statement = connection.statement_;
+    FinishRun(connection, aNow);
+    SettleAnswer(statement, std::move(aAnswer), aNow);
+  } else {
+    connection.use_ = Use::Idle;
+    connection.since_ = aNow;
+  }
+  return true;
+}
+
+void
+UpstreamOwner::FinishRun(Connection& aConnection, Time aNow)
+{
+  running_--;
+  aConnection.statement_ = 0;
+  aConnection.use_ = aConnection.transaction_ != 0 ? Use::Held : Use::Idle;
+  aConnection.since_ = aNow;
+}
+
+void
+UpstreamOwner::SettleAnswer(std::uint64_t aId,
+                            UpstreamAnswer aAnswer,
+                            Time aNow)
+{
+  const auto found = statements_.find(aId);
+  if (found == statements_.end()) {
+    return; // its caller has been answered already
+  }
+  OwnedStatement& statement = found->second;
+  statement.ranUntil_ = aNow;
+  statement.answer_ = std::move(aAnswer);
+  SettleTransaction(statement);
+  switch (statement.answer_.result_) {
+    case UpstreamResult::Refused:
+      SettleRefusal(aId, statement.answer_.reason_, aNow);
+      return;
+    case UpstreamResult::Failed:
+      ReplyById(aId, Outcome::Failed, Reason::DatabaseError, aNow);
+      return;
+    case UpstreamResult::Done:
+      break;
+  }
+  queue_.NoteService(aNow - statement.sentAt_);
+  if (IsRead(statement) || NeedsMajority(statement)) {
+    proving_.push_back(aId);
+  } else {
+    ReplyById(aId, Outcome::Done, Reason::None, aNow);
+  }
+}
+
+// A refusal proves that this attempt did not run. An earlier attempt may
+// have, if the statement was sent before.
+void
+UpstreamOwner::SettleRefusal(std::uint64_t aId, Reason aReason, Time aNow)
+{
+  OwnedStatement& statement = statements_.at(aId);
+  const bool first = statement.attempts_ <= 1;
+  const bool noRoom =
+    aReason == Reason::Overloaded || aReason == Reason::NoConnection;
+  const bool plain = StepOf(statement) == TransactionStep::None;
+  if (noRoom && plain && statement.attempts_ < kMaxAttempts) {
+    if (first) {
+      statement.attempts_ = 0; // proven: nothing has run so far
+    }
+    Requeue(aId, aNow);
+    return;
+  }
+  const bool notRun = first || IsRead(statement);
+  ReplyById(aId, notRun ? Outcome::NotRun : Outcome::Unknown, aReason, aNow);
+}
+
+// Keeps or frees the transaction that an answered step belongs to.
+void
+UpstreamOwner::SettleTransaction(OwnedStatement& aStatement)
+{
+  const auto found = transactions_.find(aStatement.transactionId_);
+  if (found == transactions_.end()) {
+    return;
+  }
+  found->second.busy_ = false;
+  found->second.usedAt_ = aStatement.ranUntil_;
+  const TransactionStep step = StepOf(aStatement);
+  const bool ends = step == TransactionStep::Commit ||
+                    step == TransactionStep::Rollback ||
+                    aStatement.answer_.result_ == UpstreamResult::Refused;
+  if (ends) {
+    EndTransaction(aStatement.transactionId_);
+  }
+}
+
+void
+UpstreamOwner::EndTransaction(std::uint64_t aTransaction)
+{
+  const auto found = transactions_.find(aTransaction);
+  if (found == transactions_.end()) {
+    return;
+  }
+  const auto connection = connections_.find(found->second.connection_);
+  if (connection != connections_.end()) {
+    connection->second.transaction_ = 0;
+    if (connection->second.use_ == Use::Held) {
+      connection->second.use_ = Use::Idle;
+    }
+  }
+  transactions_.erase(found);
+}
+
+void
+UpstreamOwner::CloseAll(TrafficActions& aOut)
+{
+  for (const auto& [id, connection] : connections_) {
+    if (connection.use_ != Use::Running && connection.transaction_ == 0) {
+      aOut.push_back(CloseConnection{ id });
+    }
+  }
+  std::erase_if(connections_, [](const auto& aEntry) {
+    return aEntry.second.use_ != Use::Running &&
+           aEntry.second.transaction_ == 0;
+  });
+}
+
+// ---- Tick
+
+void
+UpstreamOwner::Tick(Time aNow,
+                    const GroupWatch& aWatch,
+                    IdSource& aIds,
+                    TrafficActions& aOut)
+{
+  DropRefused(aNow);
+  CheckRunning(aNow, aOut);
+  CheckTransactions(aNow, aOut);
+  StartPinned(aNow, aOut);
+  StartQueued(aNow, aIds, aOut);
+  CheckProofs(aNow, aWatch);
+  KeepConnections(aNow, aIds, aOut);
+}
+
+void
+UpstreamOwner::DropRefused(Time aNow)
+{
+  for (const auto& refused : queue_.TakeRefused(aNow)) {
+    const auto found = statements_.find(refused.id_);
+    const bool sent = found != statements_.end() && found->second.attempts_ > 0;
+    const bool proven = !sent || IsRead(found->second);
+    ReplyById(refused.id_,
+              proven ? Outcome::NotRun : Outcome::Unknown,
+              refused.reason_,
+              aNow);
+  }
+  if (owned_ && !info_.leaving()) {
+    return;
+  }
+  // What is still queued has not run and goes back to be routed again.
+  while (auto item = queue_.Pop(aNow)) {
+    const auto found = statements_.find(item->id_);
+    const bool sent = found != statements_.end() && found->second.attempts_ > 0;
+    ReplyById(item->id_,
+              sent ? Outcome::Unknown : Outcome::NotRun,
+              owned_ ? Reason::Leaving : Reason::NotOwner,
+              aNow);
+  }
+}
+
+void
+UpstreamOwner::CheckRunning(Time aNow, TrafficActions& aOut)
+{
+  std::vector<ConnectionId> silent;
+  Time newest;
+  for (const auto& [id, connection] : connections_) {
+    const Duration spent = aNow - connection.since_;
+    bool drop = false;
+    if (connection.use_ == Use::Opening) {
+      drop = spent >= timing_.connectTimeout_;
+    } else if (connection.use_ == Use::Checking) {
+      drop = spent >= timing_.silentAfter_;
+    } else if (connection.use_ == Use::Running) {
+      const auto& statement = statements_.at(connection.statement_);
+      const bool late = aNow >= statement.deadline_;
+      const bool repeat =
+        IsSafeTwice(statement) && spent >= timing_.silentAfter_;
+      drop = late || repeat;
+    }
+    if (drop) {
+      silent.push_back(id);
+      if (connection.use_ != Use::Opening) {
+        newest = std::max(newest, connection.openedAt_);
+      }
+    }
+  }
+  for (const ConnectionId id : silent) {
+    aOut.push_back(CloseConnection{ id });
+    Lost(id, aNow);
+  }
+  if (newest != Time{}) {
+    DropAgeMates(newest, aNow, aOut);
+  }
+}
+
+// Whatever made one connection silent may have silenced all that are as old.
+// Idle ones are dropped: opening a new one is cheap, a lost write is not.
+void
+UpstreamOwner::DropAgeMates(Time aOpenedUntil, Time aNow, TrafficActions& aOut)
+{
+  std::vector<ConnectionId> mates;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.use_ == Use::Idle && connection.openedAt_ <= aOpenedUntil) {
+      mates.push_back(id);
+    }
+  }
+  for (const ConnectionId id : mates) {
+    aOut.push_back(CloseConnection{ id });
+    Lost(id, aNow);
+  }
+  aOut.push_back(WriteNote{
+    Event::ConnectionSilent,
+    fmt::format(
+      "upstream={} dropped_with_it={}", info_.server(), mates.size()) });
+}
+
+void
+UpstreamOwner::CheckTransactions(Time aNow, TrafficActions& aOut)
+{
+  std::vector<ConnectionId> idle;
+  for (const auto& [id, transaction] : transactions_) {
+    const bool old = aNow - transaction.usedAt_ >= timing_.transactionIdle_;
+    if (!transaction.busy_ && old) {
+      idle.push_back(transaction.connection_);
+    }
+  }
+  for (const ConnectionId id : idle) {
+    aOut.push_back(CloseConnection{ id });
+    Lost(id, aNow);
+  }
+}
+
+void
+UpstreamOwner::CheckProofs(Time aNow, const GroupWatch& aWatch)
+{
+  std::vector<std::uint64_t> open;
+  for (const std::uint64_t id : std::exchange(proving_, {})) {
+    const OwnedStatement& statement = statements_.at(id);
+    const LogPoint point = statement.answer_.point_;
+    if (NeedsMajority(statement)) {
+      // An empty commit wrote nothing that could be lost.
+      if (aWatch.IsDurable(point)) {
+        ReplyById(id, Outcome::Done, Reason::None, aNow);
+      } else if (aNow >= statement.deadline_) {
+        ReplyById(id, Outcome::Unknown, Reason::NotDurable, aNow);
+      } else {
+        open.push_back(id);
+      }
+      continue;
+    }
+    const auto fresh = aWatch.FreshAsOf(info_.server(), point);
+    const Time wanted = statement.arrivedAt_ - statement.maxAge_;
+    const Time until = primary_ ? statement.deadline_
+                                : statement.ranUntil_ + timing_.freshWait_;
+    if (point < statement.minPoint_) {
+      ReplyById(id, Outcome::Failed, Reason::Behind, aNow);
+    } else if (fresh && *fresh >= wanted) {
+      ReplyById(id, Outcome::Done, Reason::None, aNow);
+    } else if (aNow >= std::min(until, statement.deadline_)) {
+      ReplyById(id, Outcome::Failed, Reason::Stale, aNow);
+    } else {
+      open.push_back(id);
+    }
+  }
+  proving_ = std::move(open);
+}
+
+// ---- Sending
+
+// The connection proven most recently, so that the surplus ages and is closed.
+ConnectionId
+UpstreamOwner::FindIdle() const
+{
+  ConnectionId best = 0;
+  Time proven;
+  for (const auto& [id, connection] : connections_) {
+    const bool later = best == 0 || connection.provenAt_ > proven;
+    if (connection.use_ == Use::Idle && later) {
+      best = id;
+      proven = connection.provenAt_;
+    }
+  }
+  return best;
+}
+
+void
+UpstreamOwner::StartPinned(Time aNow, TrafficActions& aOut)
+{
+  std::vector<std::uint64_t> later;
+  for (const std::uint64_t id : std::exchange(pinned_, {})) {
+    OwnedStatement& statement = statements_.at(id);
+    const auto found = transactions_.find(statement.transactionId_);
+    if (found == transactions_.end()) {
+      statement.transactionId_ = 0;
+      ReplyById(id, Outcome::NotRun, Reason::TransactionLost, aNow);
+    } else if (aNow >= statement.deadline_) {
+      found->second.busy_ = false;
+      ReplyById(id, Outcome::NotRun, Reason::PastDeadline, aNow);
+    } else if (running_ < info_.slots()) {
+      Send(found->second.connection_, id, aNow, aOut);
+    } else {
+      later.push_back(id);
+    }
+  }
+  pinned_ = std::move(later);
+}
+
+void
+UpstreamOwner::StartQueued(Time aNow, IdSource& aIds, TrafficActions& aOut)
+{
+  while (running_ < info_.slots() && queue_.Size() > 0) {
+    const ConnectionId id = FindIdle();
+    if (id == 0) {
+      return;
+    }
+    Connection& connection = connections_.at(id);
+    if (aNow - connection.provenAt_ > timing_.provenFor_) {
+      connection.use_ = Use::Checking;
+      connection.since_ = aNow;
+      aOut.push_back(SendUpstream{ id, UpstreamRequest{} });
+      continue;
+    }
+    const auto item = queue_.Pop(aNow);
+    if (!item) {
+      return;
+    }
+    const OwnedStatement& statement = statements_.at(item->id_);
+    if (StepOf(statement) == TransactionStep::Begin) {
+      const std::uint64_t transaction = aIds.Next();
+      transactions_[transaction] = { id, aNow, true, {} };
+      connection.transaction_ = transaction;
+      statements_.at(item->id_).transactionId_ = transaction;
+    }
+    Send(id, item->id_, aNow, aOut);
+  }
+}
+
+void
+UpstreamOwner::Send(ConnectionId aId,
+                    std::uint64_t aStatement,
+                    Time aNow,
+                    TrafficActions& aOut)
+{
+  OwnedStatement& statement = statements_.at(aStatement);
+  Connection& connection = connections_.at(aId);
+  connection.use_ = Use::Running;
+  connection.since_ = aNow;
+  connection.statement_ = aStatement;
+  running_++;
+  statement.sentAt_ = aNow;
+  statement.attempts_++;
+  UpstreamRequest request;
+  request.op_ = UpstreamOp::Execute;
+  request.term_ = term_;
+  request.statement_ = statement.statement_.text();
+  request.minPoint_ = statement.minPoint_;
+  request.remaining_ = statement.deadline_ - aNow;
+  request.step_ = StepOf(statement);
+  request.read_ = IsRead(statement);
+  aOut.push_back(SendUpstream{ aId, std::move(request) });
+}
+
+// Opens what the queue needs, and closes what has been idle for long.
+void
+UpstreamOwner::KeepConnections(Time aNow, IdSource& aIds, TrafficActions& aOut)
+{
+  std::size_t usable = 0;
+  std::vector<ConnectionId> old;
+  for (const auto& [id, connection] : connections_) {
+    const bool idle = connection.use_ == Use::Idle;
+    usable += connection.transaction_ == 0 ? 1U : 0U;
+    if (idle && (!owned_ || aNow - connection.since_ >= kKeepIdle)) {
+      old.push_back(id);
+    }
+  }
+  for (const ConnectionId id : old) {
+    if (owned_ && usable <= 1) {
+      break; // one stays warm
+    }
+    usable--;
+    aOut.push_back(CloseConnection{ id });
+    connections_.erase(id);
+  }
+  if (!owned_) {
+    return;
+  }
+  const std::size_t wanted =
+    std::max<std::size_t>(1, std::min<std::size_t>(queue_.Size() + running_,
+                                                   info_.slots()));
+  while (usable < wanted && connections_.size() < ConnectionLimit() &&
+         aNow >= openNotBefore_) {
+    const ConnectionId id = aIds.Next();
+    connections_[id] = { Use::Opening, aNow, aNow, aNow, 0, 0 };
+    usable++;
+    aOut.push_back(OpenConnection{
+      id, info_.host(), static_cast<std::uint16_t>(info_.port()) });
+  }
+}
+
+Time
+UpstreamOwner::NextWake(Time aNow) const
+{
+  // Waiting for a proof or a connection is paced by the watch and by events;
+  // what is left are deadlines and time-outs, which bear a coarse clock.
+  return statements_.empty() ? aNow + 100ms : aNow + 5ms;
+}
+
+} // namespace jaydoor
