--- a/base/Log.h
+++ b/base/Log.h
@@ -66,13 +66,16 @@
 };
 
 // All events with their level and name, in the order of their numbers.
-std::span<const EventInfo> ListEvents();
+std::span<const EventInfo>
+ListEvents();
 
 // The lowest level that is written; set once at start.
-void SetLogLevel(Level aLevel);
+void
+SetLogLevel(Level aLevel);
 
 // Writes one line: time, level, number, name, text.
-void WriteEvent(Event aEvent, std::string_view aText);
+void
+WriteEvent(Event aEvent, std::string_view aText);
 
 template<typename... Args>
 void
--- a/base/Types.h
+++ b/base/Types.h
@@ -50,37 +50,44 @@
 enum class Reason : std::uint8_t
 {
   None,
-  BadRequest,     // malformed, oversized or of the wrong type
-  BadSession,     // forged or unreadable session token
-  NoSuchDatabase, // no upstream of that name has announced itself
-  NoPrimary,      // no primary is known or reachable
-  WrongTerm,      // upstream is at another term
-  NotPrimary,     // upstream is not the primary
-  Behind,         // upstream is behind what the session has seen
-  Stale,          // no upstream can prove the age that the rule allows
-  PastDeadline,   // deadline passed before the statement was sent
-  Overloaded,     // queue full, or the deadline can't be met
-  NoConnection,   // no connection to the upstream could be opened
-  NotOwner,       // the VM asked does not own the upstream
-  Leaving,        // the upstream or VM is leaving
-  RulesUnproven,  // this VM can't prove that its rules are in force
-  RuleForbids,    // a rule keeps traffic off the upstream
-  TransactionLost,// transaction unknown, expired or rolled back
-  Unreachable,    // the VM that owns the upstream didn't answer
-  NotDurable,     // no majority proved the write durable in time
-  DatabaseError,  // the database's own refusal
-  RetryBudget,    // a retry was possible, but the retry budget is spent
+  BadRequest,      // malformed, oversized or of the wrong type
+  BadSession,      // forged or unreadable session token
+  NoSuchDatabase,  // no upstream of that name has announced itself
+  NoPrimary,       // no primary is known or reachable
+  WrongTerm,       // upstream is at another term
+  NotPrimary,      // upstream is not the primary
+  Behind,          // upstream is behind what the session has seen
+  Stale,           // no upstream can prove the age that the rule allows
+  PastDeadline,    // deadline passed before the statement was sent
+  Overloaded,      // queue full, or the deadline can't be met
+  NoConnection,    // no connection to the upstream could be opened
+  NotOwner,        // the VM asked does not own the upstream
+  Leaving,         // the upstream or VM is leaving
+  RulesUnproven,   // this VM can't prove that its rules are in force
+  RuleForbids,     // a rule keeps traffic off the upstream
+  TransactionLost, // transaction unknown, expired or rolled back
+  Unreachable,     // the VM that owns the upstream didn't answer
+  NotDurable,      // no majority proved the write durable in time
+  DatabaseError,   // the database's own refusal
+  RetryBudget,     // a retry was possible, but the retry budget is spent
 };
 
 // Text forms, as they stand in JSON bodies, rules and logs.
-std::string_view ToText(Rank aRank);
-std::string_view ToText(Outcome aOutcome);
-std::string_view ToText(Reason aReason);
-std::optional<Rank> ParseRank(std::string_view aText);
-std::optional<Outcome> ParseOutcome(std::string_view aText);
-std::optional<Reason> ParseReason(std::string_view aText);
+std::string_view
+ToText(Rank aRank);
+std::string_view
+ToText(Outcome aOutcome);
+std::string_view
+ToText(Reason aReason);
+std::optional<Rank>
+ParseRank(std::string_view aText);
+std::optional<Outcome>
+ParseOutcome(std::string_view aText);
+std::optional<Reason>
+ParseReason(std::string_view aText);
 
 // What an operator or caller can do about a refusal.
-std::string_view RemedyOf(Reason aReason);
+std::string_view
+RemedyOf(Reason aReason);
 
 } // namespace jaydoor
--- /dev/null
+++ b/control/ControlNode.cpp
@@ -0,0 +1,723 @@
+#include "control/ControlNode.h"
+
+#include "base/Erase.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr Duration kFoundingEvery = 200ms;
+constexpr Duration kBlankFresh = 2s; // a blank voter was heard this lately
+constexpr Duration kProposeAgain = 300ms;
+constexpr Duration kOperatorWait = 5s; // then the outcome is not known yet
+constexpr Duration kProofEvery = 200ms;
+constexpr Duration kPullEvery = 200ms;
+constexpr Duration kZoneProofAfter = 3s; // no quorum: the zone's word counts
+constexpr Duration kGoneEvery = 1s;
+constexpr Duration kGoneAfter = 30s;          // no announcement for this long
+constexpr std::size_t kFanout = 3;            // VMs that a change is pushed to
+constexpr std::uint64_t kSnapshotEvery = 256; // changes
+constexpr std::uint64_t kKeptBehind = 64; // log entries kept behind a snapshot
+
+bool
+IsSame(const wire::Upstream& aLeft, const wire::Upstream& aRight)
+{
+  return aLeft.SerializeAsString() == aRight.SerializeAsString();
+}
+
+} // namespace
+
+VmId
+VmOfVoter(const VoterId& aVoter)
+{
+  return aVoter.substr(0, aVoter.find('/'));
+}
+
+ControlNode::ControlNode(ControlConfig aConfig, std::optional<RaftDisk> aDisk)
+  : config_(std::move(aConfig))
+  , membership_(config_.self_,
+                config_.seeds_,
+                config_.membership_,
+                config_.seed_)
+  , promoter_(config_.promoter_)
+  , random_(config_.seed_)
+{
+  if (aDisk) {
+    state_.Install(aDisk->snapshot_);
+    raft_.emplace(
+      config_.self_.voter(), config_.raft_, config_.seed_, std::move(*aDisk));
+    published_ = state_.Index();
+  }
+}
+
+void
+ControlNode::Step(ControlEvent aEvent, Time aNow, ControlActions& aOut)
+{
+  if (!started_) {
+    started_ = true;
+    startedAt_ = aNow;
+  }
+  std::visit([&](auto& aCase) { Handle(aCase, aNow, aOut); }, aEvent);
+  Finish(aNow, aOut);
+}
+
+VmId
+ControlNode::LeaderVm() const
+{
+  const bool known = raft_ && !raft_->Leader().empty();
+  return VmOfVoter(known ? raft_->Leader() : leaderHint_);
+}
+
+// True if this VM is the leader, nobody else can be, and all that earlier
+// leaders have committed is applied here.
+bool
+ControlNode::MayDecide(Time aNow) const
+{
+  return raft_ && raft_->HasLease(aNow) && raft_->IsCurrent();
+}
+
+// ---- Sending
+
+void
+ControlNode::Send(const VmId& aTo,
+                  wire::ControlMessage aMessage,
+                  ControlActions& aOut)
+{
+  if (aTo.empty() || aTo == config_.self_.id()) {
+    return;
+  }
+  aMessage.set_from(config_.self_.id());
+  aMessage.set_to(aTo);
+  counters_.messagesOut_++;
+  counters_.bytesOut_ += aMessage.ByteSizeLong();
+  aOut.push_back(SendVm{ aTo, std::move(aMessage) });
+}
+
+// Probes carry along how far this VM has come and who leads.
+void
+ControlNode::SendAll(std::vector<SendVm> aMessages, ControlActions& aOut)
+{
+  const VoterId leader = raft_ ? raft_->Leader() : leaderHint_;
+  for (auto& send : aMessages) {
+    if (send.message_.has_probe()) {
+      send.message_.mutable_probe()->set_applied(state_.Index());
+      send.message_.mutable_probe()->set_leader(leader);
+    } else if (send.message_.has_probe_reply()) {
+      send.message_.mutable_probe_reply()->set_applied(state_.Index());
+      send.message_.mutable_probe_reply()->set_leader(leader);
+    }
+    Send(send.to_, std::move(send.message_), aOut);
+  }
+}
+
+void
+ControlNode::SendToLeader(const wire::ControlMessage& aMessage,
+                          ControlActions& aOut)
+{
+  const VmId leader = LeaderVm();
+  if (!leader.empty() && membership_.IsAlive(leader)) {
+    Send(leader, aMessage, aOut);
+    return;
+  }
+  for (const auto& vm : config_.voterVms_) {
+    Send(vm, aMessage, aOut);
+  }
+}
+
+void
+ControlNode::PerformRaft(RaftActions aActions, Time, ControlActions& aOut)
+{
+  for (auto& action : aActions) {
+    if (auto* hard = std::get_if<SaveHardState>(&action)) {
+      aOut.push_back(std::move(*hard));
+    } else if (auto* entries = std::get_if<SaveEntries>(&action)) {
+      aOut.push_back(std::move(*entries));
+    } else if (auto* snapshot = std::get_if<SaveSnapshot>(&action)) {
+      aOut.push_back(std::move(*snapshot));
+    } else if (auto* send = std::get_if<SendVoter>(&action)) {
+      Send(VmOfVoter(send->to_), std::move(send->message_), aOut);
+    } else if (auto* apply = std::get_if<ApplyChange>(&action)) {
+      state_.Apply(apply->change_);
+      counters_.changesApplied_++;
+    } else if (auto* install = std::get_if<ApplySnapshot>(&action)) {
+      state_.Install(install->snapshot_);
+    }
+  }
+}
+
+void
+ControlNode::Propose(const wire::Change& aChange,
+                     Time aNow,
+                     ControlActions& aOut)
+{
+  if (raft_ && raft_->IsLeader()) {
+    RaftActions actions;
+    raft_->Propose(aChange, aNow, actions);
+    PerformRaft(std::move(actions), aNow, aOut);
+    return;
+  }
+  wire::ControlMessage message;
+  *message.mutable_propose()->mutable_change() = aChange;
+  SendToLeader(message, aOut);
+}
+
+// ---- Messages
+
+void
+ControlNode::Handle(TakeControlMessage& aEvent, Time aNow, ControlActions& aOut)
+{
+  const wire::ControlMessage& message = aEvent.message_;
+  const VmId& from = message.from();
+  counters_.messagesIn_++;
+  counters_.bytesIn_ += message.ByteSizeLong();
+  std::vector<SendVm> sends;
+  switch (message.body_case()) {
+    case wire::ControlMessage::kProbe:
+      NotePeerIndex(from, message.probe().applied(), aNow, aOut);
+      leaderHint_ = message.probe().leader().empty() ? leaderHint_
+                                                     : message.probe().leader();
+      membership_.ReceiveProbe(from, message.probe(), aNow, sends);
+      break;
+    case wire::ControlMessage::kProbeReply:
+      NotePeerIndex(from, message.probe_reply().applied(), aNow, aOut);
+      leaderHint_ = message.probe_reply().leader().empty()
+                      ? leaderHint_
+                      : message.probe_reply().leader();
+      membership_.ReceiveReply(from, message.probe_reply(), aNow, sends);
+      break;
+    case wire::ControlMessage::kDelta:
+      TakeDelta(from, message.delta(), aOut);
+      break;
+    case wire::ControlMessage::kDeltaRequest: {
+      wire::ControlMessage reply;
+      *reply.mutable_delta() =
+        state_.DeltaAfter(message.delta_request().applied());
+      reply.mutable_delta()->set_proven(proven_);
+      Send(from, std::move(reply), aOut);
+      break;
+    }
+    case wire::ControlMessage::kIndexRequest:
+      if (MayDecide(aNow)) {
+        wire::ControlMessage reply;
+        reply.mutable_index_reply()->set_index(raft_->CommitIndex());
+        Send(from, std::move(reply), aOut);
+      }
+      break;
+    case wire::ControlMessage::kIndexReply:
+      provenIndex_ =
+        std::max(provenIndex_.value_or(0), message.index_reply().index());
+      break;
+    case wire::ControlMessage::kPropose:
+      // Only the leader takes it: a proposal is not passed on twice.
+      if (raft_ && raft_->IsLeader()) {
+        Propose(message.propose().change(), aNow, aOut);
+      }
+      break;
+    case wire::ControlMessage::kSuspicion:
+      promoter_.NoteSuspicion(from, message.suspicion(), aNow);
+      break;
+    case wire::ControlMessage::kFounding:
+      TakeFounding(message, aNow, aOut);
+      break;
+    default:
+      if (raft_) {
+        RaftActions actions;
+        raft_->Receive(message, aNow, actions);
+        PerformRaft(std::move(actions), aNow, aOut);
+      }
+      break;
+  }
+  SendAll(std::move(sends), aOut);
+}
+
+void
+ControlNode::NotePeerIndex(const VmId& aFrom,
+                           std::uint64_t aIndex,
+                           Time aNow,
+                           ControlActions& aOut)
+{
+  if (raft_ || aIndex <= state_.Index() || aNow < pullAt_) {
+    return; // a voter takes its changes from the log
+  }
+  pullAt_ = aNow + kPullEvery;
+  wire::ControlMessage message;
+  message.mutable_delta_request()->set_applied(state_.Index());
+  Send(aFrom, std::move(message), aOut);
+}
+
+void
+ControlNode::TakeDelta(const VmId& aFrom,
+                       const wire::Delta& aDelta,
+                       ControlActions& aOut)
+{
+  neighbourProven_ = neighbourProven_ || aDelta.proven();
+  if (raft_) {
+    return;
+  }
+  const std::uint64_t before = state_.Index();
+  state_.ApplyDelta(aDelta);
+  counters_.changesApplied_ += state_.Index() - before;
+  const bool gap =
+    aDelta.changes_size() > 0 &&
+    aDelta.changes(aDelta.changes_size() - 1).index() > state_.Index();
+  if (gap) {
+    wire::ControlMessage message;
+    message.mutable_delta_request()->set_applied(state_.Index());
+    Send(aFrom, std::move(message), aOut);
+  }
+}
+
+// ---- Founding, and voters that lost their disk
+
+// Blank voters greet the others. When all of them are blank, the first by id
+// founds the control state with the disks that it has heard of.
+void
+ControlNode::TickFounding(Time aNow, ControlActions& aOut)
+{
+  if (!raft_ || !raft_->IsBlank() || aNow < foundingAt_) {
+    return;
+  }
+  foundingAt_ = aNow + kFoundingEvery;
+  wire::ControlMessage hello;
+  hello.set_from_voter(raft_->Self());
+  hello.mutable_founding()->set_blank(true);
+  for (const auto& vm : config_.voterVms_) {
+    Send(vm, hello, aOut);
+  }
+  const auto first =
+    std::min_element(config_.voterVms_.begin(), config_.voterVms_.end());
+  if (first == config_.voterVms_.end() || *first != config_.self_.id()) {
+    return;
+  }
+  wire::VoterSet voters;
+  voters.add_voters(raft_->Self());
+  std::set<VmId> vms{ config_.self_.id() };
+  for (const auto& [voter, at] : blanks_) {
+    if (aNow - at <= kBlankFresh && vms.insert(VmOfVoter(voter)).second) {
+      voters.add_voters(voter);
+    }
+  }
+  if (vms.size() < config_.voterVms_.size()) {
+    return;
+  }
+  RaftActions actions;
+  raft_->Found(voters, actions);
+  PerformRaft(std::move(actions), aNow, aOut);
+  aOut.push_back(ControlNote{ Event::DiskFounded,
+                              fmt::format("voters={}", voters.voters_size()) });
+  hello.mutable_founding()->set_blank(false);
+  *hello.mutable_founding()->mutable_voters() = voters;
+  for (const auto& vm : config_.voterVms_) {
+    Send(vm, hello, aOut);
+  }
+}
+
+void
+ControlNode::TakeFounding(const wire::ControlMessage& aMessage,
+                          Time aNow,
+                          ControlActions& aOut)
+{
+  if (!raft_) {
+    return;
+  }
+  const VoterId& voter = aMessage.from_voter();
+  const wire::Founding& founding = aMessage.founding();
+  if (raft_->IsBlank()) {
+    const auto& voters = founding.voters().voters();
+    const bool named =
+      std::find(voters.begin(), voters.end(), raft_->Self()) != voters.end();
+    if (founding.blank()) {
+      blanks_[voter] = aNow;
+    } else if (named) {
+      RaftActions actions;
+      raft_->Found(founding.voters(), actions);
+      PerformRaft(std::move(actions), aNow, aOut);
+    }
+    return;
+  }
+  if (!founding.blank()) {
+    return;
+  }
+  if (raft_->IsVoter(voter)) {
+    // It missed the founding: its disk has never held anything.
+    wire::ControlMessage reply;
+    reply.set_from_voter(raft_->Self());
+    *reply.mutable_founding()->mutable_voters() = raft_->Voters();
+    Send(VmOfVoter(voter), std::move(reply), aOut);
+    return;
+  }
+  AdmitVoter(voter, aNow, aOut);
+}
+
+// A disk that is not known: its VM's former disk is lost and votes no more;
+// the new one learns first. One change of voters at a time.
+void
+ControlNode::AdmitVoter(const VoterId& aVoter, Time aNow, ControlActions& aOut)
+{
+  const auto& learners = raft_->Voters().learners();
+  const bool known =
+    std::find(learners.begin(), learners.end(), aVoter) != learners.end();
+  if (known || !MayDecide(aNow) || !raft_->MayChangeVoters()) {
+    return;
+  }
+  wire::Change change;
+  for (const auto& id : raft_->Voters().voters()) {
+    if (VmOfVoter(id) != VmOfVoter(aVoter)) {
+      change.mutable_voters()->add_voters(id);
+    }
+  }
+  for (const auto& id : learners) {
+    if (VmOfVoter(id) != VmOfVoter(aVoter)) {
+      change.mutable_voters()->add_learners(id);
+    }
+  }
+  change.mutable_voters()->add_learners(aVoter);
+  aOut.push_back(
+    ControlNote{ Event::VoterReplaced, fmt::format("learner={}", aVoter) });
+  Propose(change, aNow, aOut);
+}
+
+void
+ControlNode::TickVoter(Time aNow, ControlActions& aOut)
+{
+  if (!raft_) {
+    return;
+  }
+  RaftActions actions;
+  raft_->Tick(aNow, actions);
+  PerformRaft(std::move(actions), aNow, aOut);
+  if (raft_->IsLeader() != wasLeader_) {
+    wasLeader_ = raft_->IsLeader();
+    promoter_.Reset();
+    aOut.push_back(
+      ControlNote{ wasLeader_ ? Event::LeaderElected : Event::LeaderLost,
+                   fmt::format("term={}", raft_->Term()) });
+  }
+  const auto ready =
+    raft_->MayChangeVoters() ? raft_->FindReadyLearner() : std::nullopt;
+  if (ready) {
+    wire::Change change;
+    *change.mutable_voters() = raft_->Voters();
+    auto& learners = *change.mutable_voters()->mutable_learners();
+    learners.erase(std::find(learners.begin(), learners.end(), *ready));
+    change.mutable_voters()->add_voters(*ready);
+    aOut.push_back(
+      ControlNote{ Event::VoterReplaced, fmt::format("voter={}", *ready) });
+    Propose(change, aNow, aOut);
+  }
+  MoveSnapshot(aNow, aOut);
+}
+
+// A snapshot is filed once the log has moved on a little, so that followers
+// that are only a little behind need entries and not the snapshot.
+void
+ControlNode::MoveSnapshot(Time aNow, ControlActions& aOut)
+{
+  const std::uint64_t index = state_.Index();
+  if (!pendingSnapshot_ && index >= raft_->SnapshotIndex() + kSnapshotEvery) {
+    pendingSnapshot_ = state_.TakeSnapshot();
+  }
+  if (!pendingSnapshot_ || index < pendingSnapshot_->index() + kKeptBehind) {
+    return;
+  }
+  RaftActions actions;
+  aOut.push_back(ControlNote{
+    Event::SnapshotTaken, fmt::format("index={}", pendingSnapshot_->index()) });
+  raft_->Compact(std::move(*pendingSnapshot_), actions);
+  pendingSnapshot_.reset();
+  PerformRaft(std::move(actions), aNow, aOut);
+}
+
+// ---- Promotions
+
+void
+ControlNode::Handle(TakeSuspicion& aEvent, Time aNow, ControlActions& aOut)
+{
+  promoter_.NoteSuspicion(config_.self_.id(), aEvent.suspicion_, aNow);
+  if (raft_ && raft_->IsLeader()) {
+    return;
+  }
+  wire::ControlMessage message;
+  *message.mutable_suspicion() = aEvent.suspicion_;
+  SendToLeader(message, aOut);
+}
+
+void
+ControlNode::Handle(TakeUpstreamAnswer& aEvent, Time aNow, ControlActions&)
+{
+  promoter_.NoteAnswer(aEvent.call_, aEvent.answer_, aNow);
+}
+
+void
+ControlNode::TickPromoter(Time aNow, ControlActions& aOut)
+{
+  if (!MayDecide(aNow)) {
+    return;
+  }
+  promoter_.Tick(state_, ListVms(), aNow);
+  for (const auto& change : promoter_.TakeProposals()) {
+    Propose(change, aNow, aOut);
+  }
+  for (auto& call : promoter_.TakeCalls()) {
+    aOut.push_back(std::move(call));
+  }
+  for (auto& [event, text] : promoter_.TakeNotes()) {
+    aOut.push_back(ControlNote{ static_cast<Event>(event), std::move(text) });
+  }
+}
+
+// ---- Upstreams that announce themselves
+
+void
+ControlNode::Handle(TakeAnnounce& aEvent, Time aNow, ControlActions&)
+{
+  const wire::Upstream& info = aEvent.upstream_;
+  Heard& heard = heard_[info.server()];
+  if (heard.info_.leaving() != info.leaving()) {
+    viewDirty_ = true; // in force here at once, elsewhere with the log
+  }
+  heard = { info, aNow };
+  const wire::Upstream* known = state_.FindServer(info.server());
+  if (known != nullptr && IsSame(*known, info)) {
+    upstreams_.erase(info.server());
+    return;
+  }
+  PendingUpstream& pending = upstreams_[info.server()];
+  *pending.change_.mutable_upstream() = info;
+  pending.change_.set_gone(false);
+}
+
+// A server that this VM owns and that has been silent for long is gone.
+void
+ControlNode::TickGone(Time aNow)
+{
+  if (aNow < goneAt_ || aNow - startedAt_ < kGoneAfter) {
+    return;
+  }
+  goneAt_ = aNow + kGoneEvery;
+  const auto vms = ListVms();
+  for (const auto& [name, database] : state_.Databases()) {
+    for (const auto& server : database.servers()) {
+      const auto found = heard_.find(server.server());
+      const bool silent =
+        found == heard_.end() || aNow - found->second.at_ >= kGoneAfter;
+      // A primary is first replaced, and then it may go.
+      const bool gone = silent && server.server() != database.primary() &&
+                        ChooseOwner(server, vms) == config_.self_.id();
+      if (gone) {
+        PendingUpstream& pending = upstreams_[server.server()];
+        *pending.change_.mutable_upstream() = server;
+        pending.change_.set_gone(true);
+      }
+    }
+  }
+}
+
+// ---- Operators
+
+void
+ControlNode::Handle(TakeRuleChange& aEvent, Time aNow, ControlActions&)
+{
+  PendingRules& pending = rules_[aEvent.change_.request()];
+  if (pending.operators_.empty()) {
+    pending.change_ = std::move(aEvent.change_);
+    pending.sendAt_ = aNow;
+  }
+  pending.until_ = aNow + kOperatorWait;
+  pending.operators_.push_back(aEvent.operator_);
+}
+
+void
+ControlNode::TickPending(Time aNow, ControlActions& aOut)
+{
+  EraseWhere(rules_, [&](const std::string& aRequest, PendingRules& aPending) {
+    const auto outcome = state_.OutcomeOf(aRequest);
+    const bool over = outcome || aNow >= aPending.until_;
+    if (over) {
+      for (const std::uint64_t id : aPending.operators_) {
+        aOut.push_back(AnswerOperator{ id, outcome });
+      }
+    } else if (aNow >= aPending.sendAt_) {
+      aPending.sendAt_ = aNow + kProposeAgain;
+      wire::Change change;
+      *change.mutable_rules() = aPending.change_;
+      Propose(change, aNow, aOut);
+    }
+    return over;
+  });
+  EraseWhere(upstreams_, [&](const ServerId& aId, PendingUpstream& aPending) {
+    const wire::Upstream* known = state_.FindServer(aId);
+    const bool gone = aPending.change_.gone();
+    const bool done =
+      gone ? known == nullptr
+           : known != nullptr && IsSame(*known, aPending.change_.upstream());
+    if (!done && aNow >= aPending.sendAt_) {
+      aPending.sendAt_ = aNow + kProposeAgain;
+      wire::Change change;
+      *change.mutable_upstream() = aPending.change_;
+      Propose(change, aNow, aOut);
+    }
+    return done;
+  });
+}
+
+// ---- Proof that the rules are in force
+
+// A VM that starts serves nothing until it has proven its state: with the
+// quorum, or, if that can't be reached for a while, by the word of a
+// neighbour that had proven it.
+void
+ControlNode::TickProof(Time aNow, ControlActions& aOut)
+{
+  if (proven_) {
+    return;
+  }
+  const bool byQuorum = provenIndex_ && state_.Index() >= *provenIndex_;
+  const bool byZone = neighbourProven_ && aNow - startedAt_ >= kZoneProofAfter;
+  if (byQuorum || byZone || MayDecide(aNow)) {
+    proven_ = true;
+    viewDirty_ = true;
+    return;
+  }
+  if (aNow < proofAt_) {
+    return;
+  }
+  proofAt_ = aNow + kProofEvery;
+  wire::ControlMessage ask;
+  ask.mutable_index_request();
+  for (const auto& vm : config_.voterVms_) {
+    Send(vm, ask, aOut);
+  }
+  wire::ControlMessage pull;
+  pull.mutable_delta_request()->set_applied(state_.Index());
+  for (const auto& vm : membership_.ChooseRandom(1)) {
+    Send(vm, std::move(pull), aOut);
+  }
+}
+
+// ---- Time
+
+void
+ControlNode::Handle(TakeLeave& aEvent, Time, ControlActions&)
+{
+  membership_.SetLeaving(aEvent.on_);
+  viewDirty_ = true;
+}
+
+void
+ControlNode::Handle(TakeControlTick&, Time aNow, ControlActions& aOut)
+{
+  std::vector<SendVm> sends;
+  membership_.Tick(aNow, sends);
+  SendAll(std::move(sends), aOut);
+  TickFounding(aNow, aOut);
+  TickVoter(aNow, aOut);
+  TickPromoter(aNow, aOut);
+  TickGone(aNow);
+  TickPending(aNow, aOut);
+  TickProof(aNow, aOut);
+}
+
+// ---- After each event
+
+void
+ControlNode::Finish(Time aNow, ControlActions& aOut)
+{
+  TickPending(aNow, aOut);
+  if (state_.Index() > published_) {
+    PushDelta(published_, aOut);
+    published_ = state_.Index();
+    viewDirty_ = true;
+    TickPromoter(aNow, aOut);
+  }
+  for (const auto& change : membership_.TakeChanges()) {
+    viewDirty_ = true;
+    const Event event = change.state_ == MemberState::Alive ? Event::VmJoined
+                        : change.state_ == MemberState::Suspect
+                          ? Event::VmSuspected
+                          : Event::VmDead;
+    aOut.push_back(ControlNote{ event, fmt::format("vm={}", change.vm_.id()) });
+  }
+  if (viewDirty_) {
+    viewDirty_ = false;
+    NoteChanges(aOut);
+    aOut.push_back(PublishView{ BuildView() });
+  }
+}
+
+void
+ControlNode::PushDelta(std::uint64_t aFrom, ControlActions& aOut)
+{
+  const wire::Delta delta = state_.DeltaAfter(aFrom);
+  if (delta.has_snapshot()) {
+    return; // too much to push; it is asked for
+  }
+  for (const auto& vm : membership_.ChooseRandom(kFanout)) {
+    wire::ControlMessage message;
+    *message.mutable_delta() = delta;
+    message.mutable_delta()->set_proven(proven_);
+    Send(vm, std::move(message), aOut);
+  }
+}
+
+void
+ControlNode::NoteChanges(ControlActions& aOut)
+{
+  if (state_.RulesVersion() != notedRules_) {
+    notedRules_ = state_.RulesVersion();
+    aOut.push_back(ControlNote{ Event::RulesInForce,
+                                fmt::format("version={}", notedRules_) });
+  }
+  for (const auto& [name, database] : state_.Databases()) {
+    std::uint64_t& noted = notedTerms_[name];
+    if (database.primary_term() > noted) {
+      noted = database.primary_term();
+      aOut.push_back(ControlNote{
+        Event::PrimaryChanged,
+        fmt::format(
+          "database={} server={} term={}", name, database.primary(), noted) });
+    }
+  }
+}
+
+std::vector<VmView>
+ControlNode::ListVms() const
+{
+  std::vector<VmView> vms;
+  for (const auto& vm : membership_.LiveVms()) {
+    vms.push_back({ vm.id(), vm.zone(), vm.leaving() });
+  }
+  return vms;
+}
+
+FleetViewPtr
+ControlNode::BuildView() const
+{
+  auto view = std::make_shared<FleetView>();
+  view->index_ = state_.Index();
+  view->rulesVersion_ = state_.RulesVersion();
+  view->proven_ = proven_;
+  view->rules_ = state_.CurrentRules();
+  view->vms_ = ListVms();
+  for (const auto& [name, database] : state_.Databases()) {
+    DatabaseView& group = view->databases_[name];
+    group.primary_ = database.primary();
+    group.term_ = database.primary_term();
+    group.groupSize_ = ControlState::GroupSize(database);
+    for (const auto& server : database.servers()) {
+      group.servers_.push_back(server.server());
+      ServerView& own = view->servers_[server.server()];
+      own.info_ = server;
+      const auto heard = heard_.find(server.server());
+      if (heard != heard_.end() && heard->second.info_.leaving()) {
+        own.info_.set_leaving(true);
+      }
+    }
+  }
+  return view;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/control/ControlNode.h
@@ -0,0 +1,239 @@
+#pragma once
+
+// All control decisions of one VM behind one entry point.
+//
+//   ControlNode node(config, disk);
+//   node.Step(TakeControlMessage{ message }, now, actions);
+//
+// Sections:
+//   1. Events
+//   2. Actions
+//   3. The node
+//
+// A VM with a data folder votes on the control log; the others take committed
+// changes from their neighbours. Every VM is a member, and every VM forwards
+// what it hears from upstreams and operators to the leader.
+
+#include "base/Log.h"
+#include "control/ControlState.h"
+#include "control/Membership.h"
+#include "control/Promoter.h"
+#include "control/Raft.h"
+
+#include <variant>
+
+namespace jaydoor {
+
+// ---- 1. Events
+
+struct TakeControlMessage
+{
+  wire::ControlMessage message_;
+};
+
+struct TakeAnnounce
+{
+  wire::Upstream upstream_;
+};
+
+// From the traffic thread of this VM.
+struct TakeSuspicion
+{
+  wire::Suspicion suspicion_;
+};
+
+struct TakeUpstreamAnswer
+{
+  std::uint64_t call_ = 0;
+  std::optional<UpstreamAnswer> answer_; // none: the call failed
+};
+
+// An operator's change of the rules; the answer is AnswerOperator.
+struct TakeRuleChange
+{
+  std::uint64_t operator_ = 0;
+  wire::RuleChange change_;
+};
+
+struct TakeLeave
+{
+  bool on_ = true; // off: the VM comes back after all
+};
+
+struct TakeControlTick
+{};
+
+using ControlEvent = std::variant<TakeControlMessage,
+                                  TakeAnnounce,
+                                  TakeSuspicion,
+                                  TakeUpstreamAnswer,
+                                  TakeRuleChange,
+                                  TakeLeave,
+                                  TakeControlTick>;
+
+// ---- 2. Actions
+
+struct PublishView
+{
+  FleetViewPtr view_;
+};
+
+struct AnswerOperator
+{
+  std::uint64_t operator_ = 0;
+  std::optional<wire::RuleOutcome> outcome_; // none: not known yet; resend
+};
+
+struct ControlNote
+{
+  Event event_ = Event::Started;
+  std::string text_;
+};
+
+// Saves are synced before a later message is sent.
+using ControlAction = std::variant<SaveHardState,
+                                   SaveEntries,
+                                   SaveSnapshot,
+                                   SendVm,
+                                   CallUpstream,
+                                   PublishView,
+                                   AnswerOperator,
+                                   ControlNote>;
+using ControlActions = std::vector<ControlAction>;
+
+// ---- 3. The node
+
+struct ControlConfig
+{
+  wire::Vm self_;
+  std::vector<wire::Vm> seeds_; // VMs to join through
+  std::vector<VmId> voterVms_;  // VMs that have a data folder
+  std::uint64_t seed_ = 1;
+  RaftTiming raft_;
+  MembershipTiming membership_;
+  PromoterTiming promoter_;
+};
+
+struct ControlCounters
+{
+  std::uint64_t messagesOut_ = 0;
+  std::uint64_t bytesOut_ = 0;
+  std::uint64_t messagesIn_ = 0;
+  std::uint64_t bytesIn_ = 0;
+  std::uint64_t changesApplied_ = 0;
+};
+
+class ControlNode
+{
+public:
+  // `aDisk`: none on a VM without a data folder.
+  ControlNode(ControlConfig aConfig, std::optional<RaftDisk> aDisk);
+
+  void Step(ControlEvent aEvent, Time aNow, ControlActions& aOut);
+  Time NextWake(Time aNow) const { return aNow + 10ms; }
+
+  const ControlState& State() const { return state_; }
+  const Membership& Members() const { return membership_; }
+  const Raft* Consensus() const { return raft_ ? &*raft_ : nullptr; }
+  bool IsProven() const { return proven_; }
+  VmId LeaderVm() const;
+  const ControlCounters& Counters() const { return counters_; }
+
+private:
+  struct PendingRules
+  {
+    wire::RuleChange change_;
+    std::vector<std::uint64_t> operators_;
+    Time sendAt_;
+    Time until_;
+  };
+
+  struct PendingUpstream
+  {
+    wire::UpstreamChange change_;
+    Time sendAt_;
+  };
+
+  struct Heard
+  {
+    wire::Upstream info_;
+    Time at_;
+  };
+
+  void Handle(TakeControlMessage& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeAnnounce& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeSuspicion& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeUpstreamAnswer& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeRuleChange& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeLeave& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeControlTick& aEvent, Time aNow, ControlActions& aOut);
+
+  void Send(const VmId& aTo,
+            wire::ControlMessage aMessage,
+            ControlActions& aOut);
+  void SendAll(std::vector<SendVm> aMessages, ControlActions& aOut);
+  void SendToLeader(const wire::ControlMessage& aMessage, ControlActions& aOut);
+  void PerformRaft(RaftActions aActions, Time aNow, ControlActions& aOut);
+  void Propose(const wire::Change& aChange, Time aNow, ControlActions& aOut);
+  bool MayDecide(Time aNow) const;
+
+  void TakeFounding(const wire::ControlMessage& aMessage,
+                    Time aNow,
+                    ControlActions& aOut);
+  void AdmitVoter(const VoterId& aVoter, Time aNow, ControlActions& aOut);
+  void TickVoter(Time aNow, ControlActions& aOut);
+  void TickFounding(Time aNow, ControlActions& aOut);
+  void TickPromoter(Time aNow, ControlActions& aOut);
+  void TickPending(Time aNow, ControlActions& aOut);
+  void TickProof(Time aNow, ControlActions& aOut);
+  void TickGone(Time aNow);
+  void MoveSnapshot(Time aNow, ControlActions& aOut);
+
+  void TakeDelta(const VmId& aFrom,
+                 const wire::Delta& aDelta,
+                 ControlActions& aOut);
+  void NotePeerIndex(const VmId& aFrom,
+                     std::uint64_t aIndex,
+                     Time aNow,
+                     ControlActions& aOut);
+  void Finish(Time aNow, ControlActions& aOut);
+  void PushDelta(std::uint64_t aFrom, ControlActions& aOut);
+  void NoteChanges(ControlActions& aOut);
+  FleetViewPtr BuildView() const;
+  std::vector<VmView> ListVms() const;
+
+  ControlConfig config_;
+  ControlState state_;
+  Membership membership_;
+  Promoter promoter_;
+  std::optional<Raft> raft_;
+  std::mt19937_64 random_;
+
+  std::map<std::string, PendingRules> rules_; // by request
+  std::map<ServerId, PendingUpstream> upstreams_;
+  std::map<ServerId, Heard> heard_; // upstreams that announce to this VM
+  std::map<VoterId, Time> blanks_;  // blank voters heard while blank
+  Time foundingAt_;
+  Time proofAt_;
+  Time pullAt_;
+  Time goneAt_;
+  Time startedAt_;
+  VoterId leaderHint_;
+  std::optional<std::uint64_t> provenIndex_;
+  bool neighbourProven_ = false;
+  bool started_ = false;
+  bool proven_ = false;
+  bool viewDirty_ = true;
+  bool wasLeader_ = false;
+  std::optional<wire::ControlSnapshot> pendingSnapshot_;
+  std::uint64_t published_ = 0; // index last pushed to others
+  std::map<DatabaseId, std::uint64_t> notedTerms_;
+  std::uint64_t notedRules_ = 0;
+  ControlCounters counters_;
+};
+
+// The VM part of a voter id "vm/disk".
+VmId
+VmOfVoter(const VoterId& aVoter);
+
+} // namespace jaydoor
--- /dev/null
+++ b/control/ControlState.cpp
@@ -0,0 +1,275 @@
+#include "control/ControlState.h"
+
+#include <algorithm>
+
+namespace jaydoor {
+namespace {
+
+constexpr std::size_t kMaxDeltaChanges = 256; // in one message
+
+} // namespace
+
+// ---- Changes
+
+bool
+ControlState::Apply(const wire::Change& aChange)
+{
+  if (aChange.index() != index_ + 1) {
+    return false;
+  }
+  index_ = aChange.index();
+  term_ = aChange.term();
+  switch (aChange.body_case()) {
+    case wire::Change::kRules:
+      ApplyRules(aChange.rules());
+      break;
+    case wire::Change::kUpstream:
+      ApplyUpstream(aChange.upstream());
+      break;
+    case wire::Change::kIntent:
+      ApplyIntent(aChange.intent());
+      break;
+    case wire::Change::kPrimary:
+      ApplyPrimary(aChange.primary());
+      break;
+    case wire::Change::kVoters:
+      voters_ = aChange.voters();
+      break;
+    case wire::Change::kNoop:
+    case wire::Change::BODY_NOT_SET:
+      break;
+  }
+  recent_.push_back(aChange);
+  if (recent_.size() > kKeptChanges) {
+    recent_.pop_front();
+  }
+  return true;
+}
+
+// Compare and set: one of two changes based on the same version wins. A
+// request that was decided before keeps its first outcome.
+void
+ControlState::ApplyRules(const wire::RuleChange& aChange)
+{
+  if (outcomeOf_.contains(aChange.request())) {
+    return;
+  }
+  wire::RuleOutcome outcome;
+  outcome.set_request(aChange.request());
+  outcome.set_accepted(aChange.base_version() == RulesVersion());
+  if (outcome.accepted()) {
+    wire::RuleVersion version;
+    version.set_version(RulesVersion() + 1);
+    version.set_text(aChange.text());
+    version.set_author(aChange.author());
+    rules_.push_back(std::move(version));
+    if (rules_.size() > kKeptVersions) {
+      rules_.pop_front();
+    }
+    ParseCurrent();
+  }
+  outcome.set_version(RulesVersion());
+  KeepOutcome(std::move(outcome));
+}
+
+void
+ControlState::KeepOutcome(wire::RuleOutcome aOutcome)
+{
+  outcomeOf_[aOutcome.request()] = aOutcome;
+  outcomes_.push_back(std::move(aOutcome));
+  if (outcomes_.size() > kKeptOutcomes) {
+    outcomeOf_.erase(outcomes_.front().request());
+    outcomes_.pop_front();
+  }
+}
+
+// The text was checked before it was proposed; one that this version can't
+// read leaves the rules that were in force.
+void
+ControlState::ParseCurrent()
+{
+  auto rules = ParseRules(RulesText());
+  if (rules) {
+    parsed_ = std::move(*rules);
+  }
+}
+
+void
+ControlState::ApplyUpstream(const wire::UpstreamChange& aChange)
+{
+  const wire::Upstream& info = aChange.upstream();
+  const auto known = servers_.find(info.server());
+  if (known != servers_.end()) {
+    auto& servers = *databases_[known->second].mutable_servers();
+    const auto at =
+      std::find_if(servers.begin(), servers.end(), [&info](const auto& aOld) {
+        return aOld.server() == info.server();
+      });
+    if (at != servers.end()) {
+      servers.erase(at);
+    }
+    servers_.erase(known);
+  }
+  if (aChange.gone()) {
+    return;
+  }
+  wire::Database& database = databases_[info.database()];
+  database.set_name(info.database());
+  *database.add_servers() = info;
+  servers_[info.server()] = info.database();
+}
+
+void
+ControlState::ApplyIntent(const wire::PromotionIntent& aIntent)
+{
+  const auto found = databases_.find(aIntent.database());
+  if (found != databases_.end()) {
+    found->second.set_reserved_term(
+      std::max(found->second.reserved_term(), aIntent.term()));
+  }
+}
+
+void
+ControlState::ApplyPrimary(const wire::PrimaryChange& aChange)
+{
+  const auto found = databases_.find(aChange.database());
+  const bool newer =
+    found != databases_.end() && aChange.term() > found->second.primary_term();
+  if (newer) {
+    found->second.set_primary(aChange.server());
+    found->second.set_primary_term(aChange.term());
+  }
+}
+
+// ---- Snapshots and deltas
+
+bool
+ControlState::Install(const wire::ControlSnapshot& aSnapshot)
+{
+  if (aSnapshot.index() < index_) {
+    return false;
+  }
+  index_ = aSnapshot.index();
+  term_ = aSnapshot.term();
+  rules_.assign(aSnapshot.rules().begin(), aSnapshot.rules().end());
+  databases_.clear();
+  servers_.clear();
+  for (const auto& database : aSnapshot.databases()) {
+    databases_[database.name()] = database;
+    for (const auto& server : database.servers()) {
+      servers_[server.server()] = database.name();
+    }
+  }
+  outcomes_.clear();
+  outcomeOf_.clear();
+  for (const auto& outcome : aSnapshot.outcomes()) {
+    KeepOutcome(outcome);
+  }
+  voters_ = aSnapshot.voters();
+  recent_.clear();
+  ParseCurrent();
+  return true;
+}
+
+wire::ControlSnapshot
+ControlState::TakeSnapshot() const
+{
+  wire::ControlSnapshot snapshot;
+  snapshot.set_index(index_);
+  snapshot.set_term(term_);
+  for (const auto& version : rules_) {
+    *snapshot.add_rules() = version;
+  }
+  for (const auto& [name, database] : databases_) {
+    *snapshot.add_databases() = database;
+  }
+  for (const auto& outcome : outcomes_) {
+    *snapshot.add_outcomes() = outcome;
+  }
+  *snapshot.mutable_voters() = voters_;
+  return snapshot;
+}
+
+wire::Delta
+ControlState::DeltaAfter(std::uint64_t aIndex) const
+{
+  wire::Delta delta;
+  const std::uint64_t first = index_ - recent_.size() + 1;
+  if (aIndex + 1 < first) {
+    *delta.mutable_snapshot() = TakeSnapshot();
+    return delta;
+  }
+  for (const auto& change : recent_) {
+    const bool fits =
+      static_cast<std::size_t>(delta.changes_size()) < kMaxDeltaChanges;
+    if (change.index() > aIndex && fits) {
+      *delta.add_changes() = change;
+    }
+  }
+  return delta;
+}
+
+bool
+ControlState::ApplyDelta(const wire::Delta& aDelta)
+{
+  const std::uint64_t before = index_;
+  if (aDelta.has_snapshot() && aDelta.snapshot().index() > index_) {
+    Install(aDelta.snapshot());
+  }
+  for (const auto& change : aDelta.changes()) {
+    Apply(change);
+  }
+  return index_ > before;
+}
+
+// ---- Questions
+
+std::uint64_t
+ControlState::RulesVersion() const
+{
+  return rules_.empty() ? 0 : rules_.back().version();
+}
+
+const std::string&
+ControlState::RulesText() const
+{
+  static const std::string kNone;
+  return rules_.empty() ? kNone : rules_.back().text();
+}
+
+std::optional<wire::RuleOutcome>
+ControlState::OutcomeOf(const std::string& aRequest) const
+{
+  const auto found = outcomeOf_.find(aRequest);
+  if (found == outcomeOf_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+const wire::Upstream*
+ControlState::FindServer(const ServerId& aServer) const
+{
+  const auto known = servers_.find(aServer);
+  if (known == servers_.end()) {
+    return nullptr;
+  }
+  for (const auto& server : databases_.at(known->second).servers()) {
+    if (server.server() == aServer) {
+      return &server;
+    }
+  }
+  return nullptr;
+}
+
+std::uint64_t
+ControlState::GroupSize(const wire::Database& aDatabase)
+{
+  std::uint64_t size = 0;
+  for (const auto& server : aDatabase.servers()) {
+    size = std::max<std::uint64_t>(size, server.group_size());
+  }
+  return size;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/control/ControlState.h
@@ -0,0 +1,72 @@
+#pragma once
+
+// What the fleet agrees on: rules, upstreams, primaries, voters. Changes come
+// in the order of the control log; every VM that applied the same changes is
+// in the same state.
+//
+//   state.Apply(change);
+//   auto delta = state.DeltaAfter(index);   // for a VM that is behind
+
+#include "control/FleetView.h"
+#include "wire/jaydoor.pb.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jaydoor {
+
+inline constexpr std::size_t kKeptVersions = 20;     // of the rules
+inline constexpr std::size_t kKeptOutcomes = 10'000; // of operators' requests
+inline constexpr std::size_t kKeptChanges = 1024;    // for VMs that are behind
+
+class ControlState
+{
+public:
+  // Applies the next change. False if its index is not the next one.
+  bool Apply(const wire::Change& aChange);
+  // Jumps forward. False if the snapshot is older than the state.
+  bool Install(const wire::ControlSnapshot& aSnapshot);
+  wire::ControlSnapshot TakeSnapshot() const;
+  // What a VM at `aIndex` lacks: changes, or a snapshot if it is far behind.
+  wire::Delta DeltaAfter(std::uint64_t aIndex) const;
+  // Applies a delta; true if the state moved.
+  bool ApplyDelta(const wire::Delta& aDelta);
+
+  std::uint64_t Index() const { return index_; }
+  std::uint64_t RulesVersion() const;
+  const std::string& RulesText() const;
+  const std::deque<wire::RuleVersion>& RulesHistory() const { return rules_; }
+  const Rules& CurrentRules() const { return parsed_; }
+  std::optional<wire::RuleOutcome> OutcomeOf(const std::string& aRequest) const;
+  const std::map<DatabaseId, wire::Database>& Databases() const
+  {
+    return databases_;
+  }
+  const wire::Upstream* FindServer(const ServerId& aServer) const;
+  // Servers that a majority is counted of: the largest group size announced.
+  static std::uint64_t GroupSize(const wire::Database& aDatabase);
+
+private:
+  void ApplyRules(const wire::RuleChange& aChange);
+  void ApplyUpstream(const wire::UpstreamChange& aChange);
+  void ApplyIntent(const wire::PromotionIntent& aIntent);
+  void ApplyPrimary(const wire::PrimaryChange& aChange);
+  void KeepOutcome(wire::RuleOutcome aOutcome);
+  void ParseCurrent();
+
+  std::uint64_t index_ = 0;
+  std::uint64_t term_ = 0;              // of the last change
+  std::deque<wire::RuleVersion> rules_; // newest last
+  Rules parsed_;                        // of the newest version
+  std::map<DatabaseId, wire::Database> databases_;
+  std::map<ServerId, DatabaseId> servers_;
+  std::deque<wire::RuleOutcome> outcomes_;             // oldest first
+  std::map<std::string, wire::RuleOutcome> outcomeOf_; // by request
+  wire::VoterSet voters_;
+  std::deque<wire::Change> recent_; // ends at index_
+};
+
+} // namespace jaydoor
--- a/control/FleetView.cpp
+++ b/control/FleetView.cpp
@@ -47,9 +47,8 @@
   if (!local.empty()) {
     return local;
   }
-  return ChooseAmong(aServer.server(), aVms, [](const VmView& aVm) {
-    return !aVm.leaving_;
-  });
+  return ChooseAmong(
+    aServer.server(), aVms, [](const VmView& aVm) { return !aVm.leaving_; });
 }
 
 } // namespace jaydoor
--- a/control/FleetView.h
+++ b/control/FleetView.h
@@ -28,8 +28,8 @@
 
 struct DatabaseView
 {
-  ServerId primary_;           // empty: none is known
-  std::uint64_t term_ = 0;     // of the primary
+  ServerId primary_;            // empty: none is known
+  std::uint64_t term_ = 0;      // of the primary
   std::uint64_t groupSize_ = 0; // servers that a majority is counted of
   std::vector<ServerId> servers_;
 };
@@ -50,6 +50,7 @@
 // The VM that owns a server: rendezvous hashing over the live VMs of the
 // server's zone, over all live VMs where the zone has none. Empty if no VM
 // is live. `aVms` is in any order; the result does not depend on it.
-VmId ChooseOwner(const wire::Upstream& aServer, std::span<const VmView> aVms);
+VmId
+ChooseOwner(const wire::Upstream& aServer, std::span<const VmView> aVms);
 
 } // namespace jaydoor
--- /dev/null
+++ b/control/Membership.cpp
@@ -0,0 +1,371 @@
+#include "control/Membership.h"
+
+#include "base/Erase.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jaydoor {
+namespace {
+
+constexpr std::size_t kIndirectProbes = 3;
+constexpr std::size_t kNewsPerMessage = 8;
+constexpr double kSpreadFactor = 3; // times the logarithm of the fleet's size
+constexpr Duration kSeedInterval = 1s;
+
+} // namespace
+
+Membership::Membership(wire::Vm aSelf,
+                       std::vector<wire::Vm> aSeeds,
+                       MembershipTiming aTiming,
+                       std::uint64_t aSeed)
+  : self_(std::move(aSelf))
+  , seeds_(std::move(aSeeds))
+  , timing_(aTiming)
+  , random_(aSeed)
+{
+  std::erase_if(
+    seeds_, [this](const wire::Vm& aSeed) { return aSeed.id() == self_.id(); });
+  news_[self_.id()] = 1;
+}
+
+Duration
+Membership::Interval() const
+{
+  const auto count = static_cast<Duration::rep>(members_.size() + 1);
+  return std::clamp(
+    timing_.perMember_ * count, timing_.minInterval_, timing_.maxInterval_);
+}
+
+std::vector<MemberChange>
+Membership::TakeChanges()
+{
+  return std::exchange(changes_, {});
+}
+
+std::vector<wire::Vm>
+Membership::LiveVms() const
+{
+  std::vector<wire::Vm> live{ self_ };
+  for (const auto& [id, member] : members_) {
+    if (member.state_ != MemberState::Dead) {
+      live.push_back(member.vm_);
+    }
+  }
+  std::sort(
+    live.begin(), live.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.id() < aRight.id();
+    });
+  return live;
+}
+
+bool
+Membership::IsAlive(const VmId& aId) const
+{
+  const auto found = members_.find(aId);
+  return aId == self_.id() ||
+         (found != members_.end() && found->second.state_ != MemberState::Dead);
+}
+
+std::vector<VmId>
+Membership::ChooseRandom(std::size_t aCount)
+{
+  std::vector<VmId> live;
+  for (const auto& [id, member] : members_) {
+    if (member.state_ != MemberState::Dead) {
+      live.push_back(id);
+    }
+  }
+  std::shuffle(live.begin(), live.end(), random_);
+  live.resize(std::min(live.size(), aCount));
+  return live;
+}
+
+// ---- Probing
+
+void
+Membership::Tick(Time aNow, std::vector<SendVm>& aOut)
+{
+  CheckPending(aNow, aOut);
+  CheckMembers(aNow);
+  if (aNow >= nextProbe_) {
+    nextProbe_ = aNow + Interval();
+    ProbeNext(aNow, aOut);
+  }
+  if (aNow >= nextSeed_) {
+    nextSeed_ = aNow + kSeedInterval;
+    ProbeSeed(aNow, aOut);
+  }
+}
+
+// Each member is probed once a round, in an order of its own.
+void
+Membership::ProbeNext(Time aNow, std::vector<SendVm>& aOut)
+{
+  while (true) {
+    if (round_.empty()) {
+      round_ = ChooseRandom(members_.size());
+      if (round_.empty()) {
+        return;
+      }
+    }
+    const VmId target = round_.back();
+    round_.pop_back();
+    if (IsAlive(target)) {
+      SendProbe(target, Pending{ target, aNow, false, {}, 0 }, aOut);
+      return;
+    }
+  }
+}
+
+// Seeds that are not members are tried for ever, so that parts of the fleet
+// that lost each other find back together.
+void
+Membership::ProbeSeed(Time aNow, std::vector<SendVm>& aOut)
+{
+  std::vector<VmId> missing;
+  for (const auto& seed : seeds_) {
+    if (!IsAlive(seed.id())) {
+      missing.push_back(seed.id());
+    }
+  }
+  if (missing.empty()) {
+    return;
+  }
+  const VmId& target = missing[random_() % missing.size()];
+  SendProbe(target, Pending{ target, aNow, true, {}, 0 }, aOut);
+  aOut.back().message_.mutable_probe()->set_join(true);
+}
+
+void
+Membership::SendProbe(const VmId& aTo,
+                      Pending aPending,
+                      std::vector<SendVm>& aOut)
+{
+  const std::uint64_t sequence = sequence_++;
+  SendVm send;
+  send.to_ = aTo;
+  auto& probe = *send.message_.mutable_probe();
+  probe.set_sequence(sequence);
+  for (auto& news : PickNews(false)) {
+    *probe.add_news() = std::move(news);
+  }
+  pending_[sequence] = std::move(aPending);
+  aOut.push_back(std::move(send));
+}
+
+void
+Membership::CheckPending(Time aNow, std::vector<SendVm>& aOut)
+{
+  std::vector<VmId> failed;
+  std::vector<std::uint64_t> ask;
+  EraseWhere(pending_, [&](std::uint64_t aSequence, Pending& aPending) {
+    const Duration waited = aNow - aPending.sentAt_;
+    if (!aPending.indirect_ && waited >= timing_.answerTime_) {
+      aPending.indirect_ = true;
+      ask.push_back(aSequence);
+    }
+    const bool over = waited >= timing_.answerTime_ + timing_.indirectTime_;
+    if (over && aPending.askedBy_.empty()) {
+      failed.push_back(aPending.target_);
+    }
+    return over;
+  });
+  for (const std::uint64_t sequence : ask) {
+    const auto found = pending_.find(sequence);
+    if (found == pending_.end()) {
+      continue;
+    }
+    for (const auto& helper : ChooseRandom(kIndirectProbes)) {
+      if (helper == found->second.target_) {
+        continue;
+      }
+      SendVm send;
+      send.to_ = helper;
+      send.message_.mutable_probe()->set_sequence(sequence);
+      send.message_.mutable_probe()->set_target(found->second.target_);
+      aOut.push_back(std::move(send));
+    }
+  }
+  for (const auto& id : failed) {
+    const auto found = members_.find(id);
+    const bool alive =
+      found != members_.end() && found->second.state_ == MemberState::Alive;
+    if (alive) {
+      SetState(found->second, MemberState::Suspect, aNow);
+    }
+  }
+}
+
+void
+Membership::CheckMembers(Time aNow)
+{
+  for (auto& [id, member] : members_) {
+    const bool dead = member.state_ == MemberState::Suspect &&
+                      aNow - member.since_ >= timing_.suspectTime_;
+    if (dead) {
+      SetState(member, MemberState::Dead, aNow);
+    }
+  }
+  EraseWhere(members_, [&](const VmId&, const Member& aMember) {
+    return aMember.state_ == MemberState::Dead &&
+           aNow - aMember.since_ >= timing_.forgetTime_;
+  });
+}
+
+void
+Membership::ReceiveProbe(const VmId& aFrom,
+                         const wire::Probe& aProbe,
+                         Time aNow,
+                         std::vector<SendVm>& aOut)
+{
+  for (const auto& news : aProbe.news()) {
+    TakeNews(news, aNow);
+  }
+  if (!aProbe.target().empty() && aProbe.target() != self_.id()) {
+    SendProbe(aProbe.target(),
+              Pending{ aProbe.target(), aNow, true, aFrom, aProbe.sequence() },
+              aOut);
+    return;
+  }
+  SendVm send;
+  send.to_ = aFrom;
+  auto& reply = *send.message_.mutable_probe_reply();
+  reply.set_sequence(aProbe.sequence());
+  for (auto& news : PickNews(aProbe.join())) {
+    *reply.add_news() = std::move(news);
+  }
+  aOut.push_back(std::move(send));
+}
+
+void
+Membership::ReceiveReply(const VmId& aFrom,
+                         const wire::ProbeReply& aReply,
+                         Time aNow,
+                         std::vector<SendVm>& aOut)
+{
+  joined_ = true;
+  for (const auto& news : aReply.news()) {
+    TakeNews(news, aNow);
+  }
+  const auto found = pending_.find(aReply.sequence());
+  if (found == pending_.end()) {
+    return;
+  }
+  const Pending pending = found->second;
+  pending_.erase(found);
+  if (!pending.askedBy_.empty()) {
+    SendVm send;
+    send.to_ = pending.askedBy_;
+    send.message_.mutable_probe_reply()->set_sequence(pending.askedSequence_);
+    aOut.push_back(std::move(send));
+    return;
+  }
+  // An answer in person, or through another VM, ends a suspicion of our own.
+  const auto member = members_.find(pending.target_);
+  const bool suspect = member != members_.end() &&
+                       member->second.state_ == MemberState::Suspect &&
+                       aFrom == pending.target_;
+  if (suspect) {
+    SetState(member->second, MemberState::Alive, aNow);
+  }
+}
+
+// ---- News
+
+// Newer incarnations win; within one, the worse state wins.
+void
+Membership::TakeNews(const wire::MemberNews& aNews, Time aNow)
+{
+  const wire::Vm& vm = aNews.vm();
+  const auto state = static_cast<MemberState>(std::min(aNews.state(), 2U));
+  if (vm.id() == self_.id()) {
+    const bool wrong =
+      state != MemberState::Alive && vm.incarnation() >= self_.incarnation();
+    if (wrong) {
+      self_.set_incarnation(vm.incarnation() + 1);
+      news_[self_.id()] = 0;
+      Spread(Member{ self_, MemberState::Alive, aNow });
+    }
+    return;
+  }
+  const auto found = members_.find(vm.id());
+  if (found == members_.end()) {
+    if (state == MemberState::Dead) {
+      return;
+    }
+    Member& member = members_[vm.id()];
+    member.vm_ = vm;
+    SetState(member, state, aNow);
+    return;
+  }
+  Member& member = found->second;
+  const bool newer = vm.incarnation() > member.vm_.incarnation();
+  const bool worse =
+    vm.incarnation() == member.vm_.incarnation() && state > member.state_;
+  if (newer || worse) {
+    member.vm_ = vm;
+    SetState(member, state, aNow);
+  }
+}
+
+void
+Membership::SetState(Member& aMember, MemberState aState, Time aNow)
+{
+  aMember.state_ = aState;
+  aMember.since_ = aNow;
+  changes_.push_back({ aMember.vm_, aState });
+  Spread(aMember);
+}
+
+void
+Membership::Spread(const Member& aMember)
+{
+  const double size = static_cast<double>(members_.size()) + 2;
+  news_[aMember.vm_.id()] =
+    static_cast<int>(std::ceil(kSpreadFactor * std::log2(size)));
+}
+
+void
+Membership::SetLeaving(bool aOn)
+{
+  self_.set_leaving(aOn);
+  self_.set_incarnation(self_.incarnation() + 1);
+  Spread(Member{ self_, MemberState::Alive, {} });
+}
+
+std::vector<wire::MemberNews>
+Membership::PickNews(bool aAll)
+{
+  std::vector<wire::MemberNews> picked;
+  wire::MemberNews own;
+  *own.mutable_vm() = self_;
+  picked.push_back(std::move(own));
+  const auto add = [&picked](const Member& aMember) {
+    wire::MemberNews news;
+    *news.mutable_vm() = aMember.vm_;
+    news.set_state(static_cast<std::uint32_t>(aMember.state_));
+    picked.push_back(std::move(news));
+  };
+  if (aAll) {
+    for (const auto& [id, member] : members_) {
+      add(member);
+    }
+    return picked;
+  }
+  EraseWhere(news_, [&](const VmId& aId, int& aTimes) {
+    const auto found = members_.find(aId);
+    if (found == members_.end()) {
+      return aId != self_.id();
+    }
+    if (picked.size() <= kNewsPerMessage) {
+      add(found->second);
+      aTimes--;
+    }
+    return aTimes <= 0;
+  });
+  return picked;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/control/Membership.h
@@ -0,0 +1,126 @@
+#pragma once
+
+// Which VMs are alive: probes of random members, indirect probes before a
+// suspicion, incarnations against false ones, news carried along (SWIM).
+//
+// The load of a VM does not grow with the fleet: one probe an interval, and
+// the interval grows with the fleet up to a bound.
+
+#include "base/Types.h"
+#include "wire/jaydoor.pb.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jaydoor {
+
+enum class MemberState : std::uint8_t
+{
+  Alive,
+  Suspect, // no answer; counts as alive until it is dead
+  Dead,
+};
+
+struct MembershipTiming
+{
+  Duration minInterval_ = 100ms;  // between probes in a small fleet
+  Duration maxInterval_ = 1s;     // in a large one
+  Duration perMember_ = 5ms;      // interval for each member
+  Duration answerTime_ = 150ms;   // then others are asked to probe
+  Duration indirectTime_ = 250ms; // then it is suspected
+  Duration suspectTime_ = 600ms;  // then it is dead
+  Duration forgetTime_ = 60s;     // then its record is dropped
+};
+
+// A message to a VM; the shell resolves the id to an address.
+struct SendVm
+{
+  VmId to_;
+  wire::ControlMessage message_;
+};
+
+struct MemberChange
+{
+  wire::Vm vm_;
+  MemberState state_ = MemberState::Alive;
+};
+
+class Membership
+{
+public:
+  // `aSeeds`: VMs to join through, with id, host and ports.
+  Membership(wire::Vm aSelf,
+             std::vector<wire::Vm> aSeeds,
+             MembershipTiming aTiming,
+             std::uint64_t aSeed);
+
+  void Tick(Time aNow, std::vector<SendVm>& aOut);
+  void ReceiveProbe(const VmId& aFrom,
+                    const wire::Probe& aProbe,
+                    Time aNow,
+                    std::vector<SendVm>& aOut);
+  void ReceiveReply(const VmId& aFrom,
+                    const wire::ProbeReply& aReply,
+                    Time aNow,
+                    std::vector<SendVm>& aOut);
+
+  // Tells the others that this VM leaves, or stays after all.
+  void SetLeaving(bool aOn);
+
+  // Alive and suspect VMs with this one, by id.
+  std::vector<wire::Vm> LiveVms() const;
+  bool IsAlive(const VmId& aId) const;
+  // Up to `aCount` random live VMs other than this one.
+  std::vector<VmId> ChooseRandom(std::size_t aCount);
+  // Changes since the last call.
+  std::vector<MemberChange> TakeChanges();
+  // Answered once by another VM since the start, or nobody else is known.
+  bool HasJoined() const { return joined_ || seeds_.empty(); }
+  Duration Interval() const;
+
+private:
+  struct Member
+  {
+    wire::Vm vm_;
+    MemberState state_ = MemberState::Alive;
+    Time since_;
+  };
+
+  // A probe that has no answer yet.
+  struct Pending
+  {
+    VmId target_;
+    Time sentAt_;
+    bool indirect_ = false; // others have been asked
+    VmId askedBy_;          // who wants to know, if not this VM
+    std::uint64_t askedSequence_ = 0;
+  };
+
+  void ProbeNext(Time aNow, std::vector<SendVm>& aOut);
+  void ProbeSeed(Time aNow, std::vector<SendVm>& aOut);
+  void SendProbe(const VmId& aTo, Pending aPending, std::vector<SendVm>& aOut);
+  void CheckPending(Time aNow, std::vector<SendVm>& aOut);
+  void CheckMembers(Time aNow);
+  void TakeNews(const wire::MemberNews& aNews, Time aNow);
+  void SetState(Member& aMember, MemberState aState, Time aNow);
+  void Spread(const Member& aMember);
+  std::vector<wire::MemberNews> PickNews(bool aAll);
+
+  wire::Vm self_;
+  std::vector<wire::Vm> seeds_;
+  MembershipTiming timing_;
+  std::mt19937_64 random_;
+  std::map<VmId, Member> members_;           // others than this VM
+  std::map<std::uint64_t, Pending> pending_; // by sequence
+  std::vector<VmId> round_;  // members left to be probed in this round
+  std::map<VmId, int> news_; // VMs to tell of, and how often still
+  std::vector<MemberChange> changes_;
+  std::uint64_t sequence_ = 1;
+  Time nextProbe_;
+  Time nextSeed_;
+  bool joined_ = false;
+};
+
+} // namespace jaydoor
--- /dev/null
+++ b/control/Promoter.cpp
@@ -0,0 +1,361 @@
+#include "control/Promoter.h"
+
+#include "base/Erase.h"
+#include "base/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr Duration kStalledAfter = 3s;
+
+std::size_t
+Majority(const wire::Database& aDatabase)
+{
+  return ControlState::GroupSize(aDatabase) / 2 + 1;
+}
+
+int
+NumberOf(Event aEvent)
+{
+  return static_cast<int>(aEvent);
+}
+
+} // namespace
+
+Promoter::Promoter(PromoterTiming aTiming)
+  : timing_(aTiming)
+{
+}
+
+void
+Promoter::Reset()
+{
+  promotions_.clear();
+  calls_.clear();
+  reports_.clear();
+  firstSeen_.clear();
+}
+
+std::vector<CallUpstream>
+Promoter::TakeCalls()
+{
+  return std::exchange(out_, {});
+}
+
+std::vector<wire::Change>
+Promoter::TakeProposals()
+{
+  return std::exchange(proposals_, {});
+}
+
+std::vector<std::pair<int, std::string>>
+Promoter::TakeNotes()
+{
+  return std::exchange(notes_, {});
+}
+
+void
+Promoter::NoteSuspicion(const VmId& aFrom,
+                        const wire::Suspicion& aSuspicion,
+                        Time aNow)
+{
+  reports_[aSuspicion.database()][aFrom] = { aSuspicion.term(),
+                                             aNow,
+                                             aSuspicion.suspected() };
+}
+
+// ---- Whether a promotion is needed
+
+// Each server of the group has a watcher, the VM that owns it. A majority of
+// them, counted by servers, has to suspect the primary.
+bool
+Promoter::IsNeeded(const wire::Database& aDatabase,
+                   std::span<const VmView> aVms,
+                   Time aNow)
+{
+  const auto known = static_cast<std::size_t>(aDatabase.servers_size());
+  if (known < Majority(aDatabase)) {
+    return false;
+  }
+  if (aDatabase.primary().empty()) {
+    const Time first =
+      firstSeen_.try_emplace(aDatabase.name(), aNow).first->second;
+    const bool whole = known >= ControlState::GroupSize(aDatabase);
+    return whole || aNow - first >= timing_.firstWait_;
+  }
+  const auto found = reports_.find(aDatabase.name());
+  if (found == reports_.end()) {
+    return false;
+  }
+  std::size_t suspecting = 0;
+  for (const auto& server : aDatabase.servers()) {
+    const auto report = found->second.find(ChooseOwner(server, aVms));
+    const bool counts = report != found->second.end() &&
+                        report->second.suspected_ &&
+                        report->second.term_ == aDatabase.primary_term() &&
+                        aNow - report->second.at_ <= timing_.reportAge_;
+    suspecting += counts ? 1U : 0U;
+  }
+  return suspecting >= Majority(aDatabase);
+}
+
+void
+Promoter::Tick(const ControlState& aState,
+               std::span<const VmView> aVms,
+               Time aNow)
+{
+  for (const auto& [name, database] : aState.Databases()) {
+    const bool running = promotions_.contains(name);
+    const bool quiet =
+      !running && reports_.empty() && !database.primary().empty();
+    if (quiet) {
+      continue;
+    }
+    if (!running && IsNeeded(database, aVms, aNow)) {
+      Promotion& promotion = promotions_[name];
+      promotion.startedAt_ = aNow;
+      promotion.phaseAt_ = aNow;
+      promotion.term_ = database.reserved_term() + 1;
+      notes_.emplace_back(NumberOf(Event::PromotionStarted),
+                          fmt::format("database={} term={} primary_was={}",
+                                      name,
+                                      promotion.term_,
+                                      database.primary()));
+    }
+    const auto found = promotions_.find(name);
+    if (found != promotions_.end()) {
+      Advance(database, found->second, aNow);
+    }
+  }
+  EraseWhere(promotions_, [&](const DatabaseId& aName, Promotion& aPromotion) {
+    const auto database = aState.Databases().find(aName);
+    return database == aState.Databases().end() ||
+           database->second.primary_term() >= aPromotion.term_;
+  });
+}
+
+// ---- The four steps
+
+void
+Promoter::SetPhase(Promotion& aPromotion, Phase aPhase, Time aNow)
+{
+  aPromotion.phase_ = aPhase;
+  aPromotion.phaseAt_ = aNow;
+  aPromotion.retryAt_ = aNow;
+}
+
+void
+Promoter::Advance(const wire::Database& aDatabase,
+                  Promotion& aPromotion,
+                  Time aNow)
+{
+  if (aPromotion.outrun_) {
+    const std::uint64_t term =
+      std::max(aPromotion.seenTerm_, aDatabase.reserved_term()) + 1;
+    const Time startedAt = aPromotion.startedAt_;
+    aPromotion = Promotion{};
+    aPromotion.term_ = term;
+    aPromotion.startedAt_ = startedAt;
+    SetPhase(aPromotion, Phase::Reserving, aNow);
+  }
+  if (aNow - aPromotion.startedAt_ >= kStalledAfter) {
+    notes_.emplace_back(NumberOf(Event::PromotionStalled),
+                        fmt::format("database={} term={} sealed={}",
+                                    aDatabase.name(),
+                                    aPromotion.term_,
+                                    aPromotion.sealed_.size()));
+    aPromotion.startedAt_ = aNow;
+  }
+  switch (aPromotion.phase_) {
+    case Phase::Reserving:
+      Reserve(aDatabase, aPromotion, aNow);
+      break;
+    case Phase::Sealing:
+      Seal(aDatabase, aPromotion, aNow);
+      break;
+    case Phase::Promoting:
+      Promote(aDatabase, aPromotion, aNow);
+      break;
+    case Phase::Publishing:
+      Publish(aDatabase, aPromotion, aNow);
+      break;
+  }
+}
+
+void
+Promoter::Reserve(const wire::Database& aDatabase,
+                  Promotion& aPromotion,
+                  Time aNow)
+{
+  if (aDatabase.reserved_term() >= aPromotion.term_) {
+    SetPhase(aPromotion, Phase::Sealing, aNow);
+    Seal(aDatabase, aPromotion, aNow);
+    return;
+  }
+  if (aNow < aPromotion.retryAt_) {
+    return;
+  }
+  aPromotion.retryAt_ = aNow + timing_.proposeRetry_;
+  wire::Change change;
+  change.mutable_intent()->set_database(aDatabase.name());
+  change.mutable_intent()->set_term(aPromotion.term_);
+  proposals_.push_back(std::move(change));
+}
+
+void
+Promoter::Seal(const wire::Database& aDatabase,
+               Promotion& aPromotion,
+               Time aNow)
+{
+  if (aNow >= aPromotion.retryAt_) {
+    aPromotion.retryAt_ = aNow + timing_.retry_;
+    for (const auto& server : aDatabase.servers()) {
+      if (!aPromotion.sealed_.contains(server.server())) {
+        SendCall(server, UpstreamOp::Seal, aPromotion);
+      }
+    }
+  }
+  if (aPromotion.sealed_.size() < Majority(aDatabase)) {
+    return;
+  }
+  if (!aPromotion.majorityAt_) {
+    aPromotion.majorityAt_ = aNow;
+  }
+  const bool all = aPromotion.sealed_.size() >=
+                   static_cast<std::size_t>(aDatabase.servers_size());
+  if (all || aNow - *aPromotion.majorityAt_ >= timing_.sealExtra_) {
+    aPromotion.chosen_ = Choose(aDatabase, aPromotion);
+    SetPhase(aPromotion, Phase::Promoting, aNow);
+    Promote(aDatabase, aPromotion, aNow);
+  }
+}
+
+// The highest log point; of equal ones, a server that is not leaving.
+ServerId
+Promoter::Choose(const wire::Database& aDatabase,
+                 const Promotion& aPromotion) const
+{
+  ServerId best;
+  LogPoint bestPoint;
+  bool bestLeaves = true;
+  for (const auto& server : aDatabase.servers()) {
+    const auto sealed = aPromotion.sealed_.find(server.server());
+    if (sealed == aPromotion.sealed_.end()) {
+      continue;
+    }
+    const LogPoint point = sealed->second;
+    const bool better = best.empty() || point > bestPoint ||
+                        (point == bestPoint && bestLeaves && !server.leaving());
+    if (better) {
+      best = server.server();
+      bestPoint = point;
+      bestLeaves = server.leaving();
+    }
+  }
+  return best;
+}
+
+void
+Promoter::Promote(const wire::Database& aDatabase,
+                  Promotion& aPromotion,
+                  Time aNow)
+{
+  if (aPromotion.promoted_) {
+    SetPhase(aPromotion, Phase::Publishing, aNow);
+    Publish(aDatabase, aPromotion, aNow);
+    return;
+  }
+  if (aNow < aPromotion.retryAt_) {
+    return;
+  }
+  const bool lost = aNow - aPromotion.phaseAt_ >= timing_.retry_ * 3;
+  if (lost) {
+    // The chosen server is gone as well. It may have been promoted at this
+    // term, so that another one needs another term.
+    aPromotion.outrun_ = true;
+    aPromotion.seenTerm_ = aPromotion.term_;
+    return;
+  }
+  aPromotion.retryAt_ = aNow + timing_.retry_;
+  for (const auto& server : aDatabase.servers()) {
+    if (server.server() == aPromotion.chosen_) {
+      SendCall(server, UpstreamOp::Promote, aPromotion);
+    }
+  }
+}
+
+void
+Promoter::Publish(const wire::Database& aDatabase,
+                  Promotion& aPromotion,
+                  Time aNow)
+{
+  if (aNow < aPromotion.retryAt_) {
+    return;
+  }
+  aPromotion.retryAt_ = aNow + timing_.proposeRetry_;
+  wire::Change change;
+  change.mutable_primary()->set_database(aDatabase.name());
+  change.mutable_primary()->set_server(aPromotion.chosen_);
+  change.mutable_primary()->set_term(aPromotion.term_);
+  proposals_.push_back(std::move(change));
+}
+
+// ---- Calls
+
+void
+Promoter::SendCall(const wire::Upstream& aServer,
+                   UpstreamOp aOp,
+                   const Promotion& aPromotion)
+{
+  CallUpstream call;
+  call.call_ = nextCall_++;
+  call.server_ = aServer.server();
+  call.host_ = aServer.host();
+  call.port_ = static_cast<std::uint16_t>(aServer.port());
+  call.request_.op_ = aOp;
+  call.request_.term_ = aPromotion.term_;
+  calls_[call.call_] = {
+    aServer.database(), aServer.server(), aPromotion.term_, aOp
+  };
+  out_.push_back(std::move(call));
+}
+
+void
+Promoter::NoteAnswer(std::uint64_t aCall,
+                     const std::optional<UpstreamAnswer>& aAnswer,
+                     Time)
+{
+  const auto found = calls_.find(aCall);
+  if (found == calls_.end()) {
+    return;
+  }
+  const Call call = found->second;
+  calls_.erase(found);
+  const auto at = promotions_.find(call.database_);
+  const bool current = at != promotions_.end() &&
+                       at->second.term_ == call.term_ && aAnswer.has_value();
+  if (!current) {
+    return;
+  }
+  Promotion& promotion = at->second;
+  if (aAnswer->promised_ > promotion.term_) {
+    promotion.outrun_ = true;
+    promotion.seenTerm_ = std::max(promotion.seenTerm_, aAnswer->promised_);
+    return;
+  }
+  if (aAnswer->result_ != UpstreamResult::Done) {
+    return;
+  }
+  if (call.op_ == UpstreamOp::Seal) {
+    promotion.sealed_[call.server_] = aAnswer->point_;
+  } else if (call.server_ == promotion.chosen_) {
+    promotion.promoted_ = true;
+  }
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/control/Raft.cpp
@@ -0,0 +1,625 @@
+#include "control/Raft.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace jaydoor {
+namespace {
+
+constexpr std::uint64_t kMaxBatch = 64;    // entries in one message
+constexpr Duration kSnapshotPause = 500ms; // before it is sent again
+
+std::int64_t
+ToUs(Time aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+Time
+FromUs(std::int64_t aUs)
+{
+  return Time(Duration(aUs));
+}
+
+} // namespace
+
+Raft::Raft(VoterId aSelf,
+           RaftTiming aTiming,
+           std::uint64_t aSeed,
+           RaftDisk aDisk)
+  : self_(std::move(aSelf))
+  , timing_(aTiming)
+  , random_(aSeed)
+  , hard_(std::move(aDisk.hard_))
+  , snapshot_(std::move(aDisk.snapshot_))
+  , log_(aDisk.entries_.begin(), aDisk.entries_.end())
+  , commit_(snapshot_.index())
+{
+  UpdateVoters();
+}
+
+// ---- The log
+
+std::uint64_t
+Raft::LastIndex() const
+{
+  return snapshot_.index() + log_.size();
+}
+
+std::uint64_t
+Raft::TermAt(std::uint64_t aIndex) const
+{
+  if (aIndex == snapshot_.index()) {
+    return snapshot_.term();
+  }
+  return EntryAt(aIndex).term();
+}
+
+const wire::Change&
+Raft::EntryAt(std::uint64_t aIndex) const
+{
+  return log_[aIndex - snapshot_.index() - 1];
+}
+
+// The latest set of voters in the log counts from its append on.
+void
+Raft::UpdateVoters()
+{
+  for (auto at = log_.rbegin(); at != log_.rend(); ++at) {
+    if (at->has_voters()) {
+      voters_ = at->voters();
+      votersIndex_ = at->index();
+      return;
+    }
+  }
+  voters_ = snapshot_.voters();
+  votersIndex_ = snapshot_.index();
+}
+
+bool
+Raft::IsVoter(const VoterId& aId) const
+{
+  return std::find(voters_.voters().begin(), voters_.voters().end(), aId) !=
+         voters_.voters().end();
+}
+
+bool
+Raft::IsQuorum(std::size_t aCount) const
+{
+  return aCount > static_cast<std::size_t>(voters_.voters_size()) / 2;
+}
+
+std::vector<VoterId>
+Raft::Others() const
+{
+  std::vector<VoterId> others(voters_.voters().begin(), voters_.voters().end());
+  others.insert(
+    others.end(), voters_.learners().begin(), voters_.learners().end());
+  std::erase(others, self_);
+  return others;
+}
+
+wire::ControlMessage
+Raft::MakeMessage() const
+{
+  wire::ControlMessage message;
+  message.set_from_voter(self_);
+  return message;
+}
+
+void
+Raft::Found(const wire::VoterSet& aVoters, RaftActions& aOut)
+{
+  *snapshot_.mutable_voters() = aVoters;
+  UpdateVoters();
+  aOut.push_back(SaveSnapshot{ snapshot_, { log_.begin(), log_.end() } });
+}
+
+void
+Raft::Compact(wire::ControlSnapshot aSnapshot, RaftActions& aOut)
+{
+  if (aSnapshot.index() <= snapshot_.index()) {
+    return;
+  }
+  const std::uint64_t drop = aSnapshot.index() - snapshot_.index();
+  log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(drop));
+  snapshot_ = std::move(aSnapshot);
+  UpdateVoters();
+  aOut.push_back(SaveSnapshot{ snapshot_, { log_.begin(), log_.end() } });
+}
+
+// ---- Time
+
+void
+Raft::ResetElection(Time aNow)
+{
+  const auto spread = static_cast<std::uint64_t>(
+    (timing_.electionMax_ - timing_.electionMin_).count());
+  electionAt_ = aNow + timing_.electionMin_ +
+                Duration(static_cast<Duration::rep>(random_() % (spread + 1)));
+}
+
+void
+Raft::Tick(Time aNow, RaftActions& aOut)
+{
+  if (!started_) {
+    started_ = true;
+    // It may have acknowledged a leader just before it was restarted.
+    loyalUntil_ = aNow + timing_.electionMin_;
+    ResetElection(aNow);
+  }
+  if (role_ == Role::Leader) {
+    const bool alone = aNow - leaderSince_ >= timing_.electionMin_ &&
+                       aNow - QuorumHeard(aNow) >= timing_.electionMin_;
+    if (alone) {
+      StepDown(hard_.term(), aNow, aOut);
+      return;
+    }
+    for (const auto& id : Others()) {
+      if (aNow - peers_[id].sentAt_ >= timing_.heartbeat_) {
+        SendAppend(id, aNow, aOut);
+      }
+    }
+    return;
+  }
+  if (aNow >= electionAt_ && IsVoter(self_)) {
+    StartElection(true, aNow, aOut);
+  }
+}
+
+// The latest time at which a quorum, with this voter, was still reached.
+Time
+Raft::QuorumHeard(Time aNow) const
+{
+  std::vector<Time> heard;
+  for (const auto& id : voters_.voters()) {
+    const auto found = peers_.find(id);
+    if (id == self_) {
+      heard.push_back(aNow);
+    } else {
+      heard.push_back(found == peers_.end() ? Time{}
+                                            : found->second.heardSent_);
+    }
+  }
+  if (heard.empty()) {
+    return Time{};
+  }
+  std::sort(heard.begin(), heard.end(), std::greater<>());
+  return heard[heard.size() / 2];
+}
+
+bool
+Raft::HasLease(Time aNow) const
+{
+  return role_ == Role::Leader && aNow - QuorumHeard(aNow) < timing_.lease_;
+}
+
+// ---- Elections
+
+void
+Raft::StartElection(bool aPre, Time aNow, RaftActions& aOut)
+{
+  role_ = Role::Candidate;
+  pre_ = aPre;
+  leader_.clear();
+  votes_ = { self_ };
+  ResetElection(aNow);
+  if (!aPre) {
+    hard_.set_term(hard_.term() + 1);
+    hard_.set_voted_for(self_);
+    aOut.push_back(SaveHardState{ hard_ });
+  }
+  if (IsQuorum(votes_.size())) {
+    if (aPre) {
+      StartElection(false, aNow, aOut);
+    } else {
+      BecomeLeader(aNow, aOut);
+    }
+    return;
+  }
+  for (const auto& id : voters_.voters()) {
+    if (id == self_) {
+      continue;
+    }
+    auto message = MakeMessage();
+    auto& vote = *message.mutable_vote();
+    vote.set_term(aPre ? hard_.term() + 1 : hard_.term());
+    vote.set_last_index(LastIndex());
+    vote.set_last_term(TermAt(LastIndex()));
+    vote.set_pre(aPre);
+    aOut.push_back(SendVoter{ id, std::move(message) });
+  }
+}
+
+bool
+Raft::IsUpToDate(const wire::VoteRequest& aRequest) const
+{
+  const std::uint64_t lastTerm = TermAt(LastIndex());
+  if (aRequest.last_term() != lastTerm) {
+    return aRequest.last_term() > lastTerm;
+  }
+  return aRequest.last_index() >= LastIndex();
+}
+
+void
+Raft::ReceiveVote(const VoterId& aFrom,
+                  const wire::VoteRequest& aRequest,
+                  Time aNow,
+                  RaftActions& aOut)
+{
+  // While a leader is heard, nobody else gets a vote.
+  const bool sticky =
+    role_ == Role::Leader ? HasLease(aNow) : !started_ || aNow < loyalUntil_;
+  const bool mayVote = IsVoter(self_) && IsVoter(aFrom) && !sticky;
+  auto message = MakeMessage();
+  auto& reply = *message.mutable_vote_reply();
+  reply.set_pre(aRequest.pre());
+  if (aRequest.pre()) {
+    reply.set_granted(mayVote && aRequest.term() > hard_.term() &&
+                      IsUpToDate(aRequest));
+    reply.set_term(reply.granted() ? aRequest.term() : hard_.term());
+    aOut.push_back(SendVoter{ aFrom, std::move(message) });
+    return;
+  }
+  if (mayVote && aRequest.term() > hard_.term()) {
+    StepDown(aRequest.term(), aNow, aOut);
+  }
+  const bool free = hard_.voted_for().empty() || hard_.voted_for() == aFrom;
+  const bool granted = mayVote && aRequest.term() == hard_.term() && free &&
+                       role_ == Role::Follower && IsUpToDate(aRequest);
+  if (granted) {
+    hard_.set_voted_for(aFrom);
+    aOut.push_back(SaveHardState{ hard_ });
+    ResetElection(aNow);
+  }
+  reply.set_granted(granted);
+  reply.set_term(hard_.term());
+  aOut.push_back(SendVoter{ aFrom, std::move(message) });
+}
+
+void
+Raft::ReceiveVoteReply(const VoterId& aFrom,
+                       const wire::VoteReply& aReply,
+                       Time aNow,
+                       RaftActions& aOut)
+{
+  if (!aReply.granted()) {
+    if (aReply.term() > hard_.term()) {
+      StepDown(aReply.term(), aNow, aOut);
+    }
+    return;
+  }
+  const std::uint64_t wanted = pre_ ? hard_.term() + 1 : hard_.term();
+  const bool ours = role_ == Role::Candidate && aReply.pre() == pre_ &&
+                    aReply.term() == wanted && IsVoter(aFrom);
+  if (!ours) {
+    return;
+  }
+  votes_.insert(aFrom);
+  if (!IsQuorum(votes_.size())) {
+    return;
+  }
+  if (pre_) {
+    StartElection(false, aNow, aOut);
+  } else {
+    BecomeLeader(aNow, aOut);
+  }
+}
+
+void
+Raft::BecomeLeader(Time aNow, RaftActions& aOut)
+{
+  role_ = Role::Leader;
+  leader_ = self_;
+  leaderSince_ = aNow;
+  peers_.clear();
+  for (const auto& id : Others()) {
+    peers_[id].next_ = LastIndex() + 1;
+  }
+  // An entry of the own term commits what earlier terms have left.
+  wire::Change noop;
+  noop.set_noop(true);
+  Propose(std::move(noop), aNow, aOut);
+}
+
+void
+Raft::StepDown(std::uint64_t aTerm, Time aNow, RaftActions& aOut)
+{
+  if (aTerm > hard_.term()) {
+    hard_.set_term(aTerm);
+    hard_.clear_voted_for();
+    aOut.push_back(SaveHardState{ hard_ });
+  }
+  if (role_ == Role::Leader) {
+    leader_.clear();
+  }
+  role_ = Role::Follower;
+  ResetElection(aNow);
+}
+
+// ---- Replication, leader's side
+
+std::optional<std::uint64_t>
+Raft::Propose(wire::Change aChange, Time aNow, RaftActions& aOut)
+{
+  if (role_ != Role::Leader) {
+    return std::nullopt;
+  }
+  aChange.set_index(LastIndex() + 1);
+  aChange.set_term(hard_.term());
+  log_.push_back(aChange);
+  aOut.push_back(SaveEntries{ { std::move(aChange) } });
+  if (log_.back().has_voters()) {
+    UpdateVoters();
+  }
+  CountMatches(aOut);
+  SendAll(aNow, aOut);
+  return LastIndex();
+}
+
+void
+Raft::SendAll(Time aNow, RaftActions& aOut)
+{
+  for (const auto& id : Others()) {
+    SendAppend(id, aNow, aOut);
+  }
+}
+
+void
+Raft::SendAppend(const VoterId& aTo, Time aNow, RaftActions& aOut)
+{
+  Peer& peer = peers_[aTo];
+  peer.sentAt_ = aNow;
+  auto message = MakeMessage();
+  if (peer.next_ <= snapshot_.index()) {
+    // It has to take the snapshot first.
+    if (aNow - peer.snapshotAt_ < kSnapshotPause) {
+      return;
+    }
+    peer.snapshotAt_ = aNow;
+    auto& request = *message.mutable_snapshot();
+    request.set_term(hard_.term());
+    *request.mutable_snapshot() = snapshot_;
+    request.set_sent_us(ToUs(aNow));
+    aOut.push_back(SendVoter{ aTo, std::move(message) });
+    return;
+  }
+  auto& request = *message.mutable_append();
+  request.set_term(hard_.term());
+  request.set_prev_index(peer.next_ - 1);
+  request.set_prev_term(TermAt(peer.next_ - 1));
+  request.set_commit(commit_);
+  request.set_sent_us(ToUs(aNow));
+  const std::uint64_t end = std::min(LastIndex() + 1, peer.next_ + kMaxBatch);
+  for (std::uint64_t index = peer.next_; index < end; index++) {
+    *request.add_entries() = EntryAt(index);
+  }
+  // Assumes that it arrives; a mismatch sets it back.
+  peer.next_ = end;
+  aOut.push_back(SendVoter{ aTo, std::move(message) });
+}
+
+void
+Raft::ReceiveAppendReply(const VoterId& aFrom,
+                         const wire::AppendReply& aReply,
+                         Time aNow,
+                         RaftActions& aOut)
+{
+  if (aReply.term() > hard_.term()) {
+    StepDown(aReply.term(), aNow, aOut);
+    return;
+  }
+  if (role_ != Role::Leader || aReply.term() != hard_.term()) {
+    return;
+  }
+  Peer& peer = peers_[aFrom];
+  peer.heardSent_ = std::max(peer.heardSent_, FromUs(aReply.sent_us()));
+  if (!aReply.matched()) {
+    peer.next_ = std::min(LastIndex(), aReply.match_index()) + 1;
+    SendAppend(aFrom, aNow, aOut);
+    return;
+  }
+  peer.match_ = std::max(peer.match_, aReply.match_index());
+  peer.next_ = std::max(peer.next_, peer.match_ + 1);
+  CountMatches(aOut);
+  if (peer.next_ <= LastIndex()) {
+    SendAppend(aFrom, aNow, aOut);
+  }
+}
+
+// Commits what a quorum has on disk, if an entry of the own term is among it.
+void
+Raft::CountMatches(RaftActions& aOut)
+{
+  std::vector<std::uint64_t> matches;
+  for (const auto& id : voters_.voters()) {
+    const auto found = peers_.find(id);
+    if (id == self_) {
+      matches.push_back(LastIndex());
+    } else {
+      matches.push_back(found == peers_.end() ? 0 : found->second.match_);
+    }
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const std::uint64_t index = matches[matches.size() / 2];
+  if (index > commit_ && TermAt(index) == hard_.term()) {
+    AdvanceCommit(index, aOut);
+  }
+}
+
+void
+Raft::AdvanceCommit(std::uint64_t aIndex, RaftActions& aOut)
+{
+  while (commit_ < std::min(aIndex, LastIndex())) {
+    commit_++;
+    aOut.push_back(ApplyChange{ EntryAt(commit_) });
+  }
+}
+
+std::optional<VoterId>
+Raft::FindReadyLearner() const
+{
+  for (const auto& id : voters_.learners()) {
+    const auto found = peers_.find(id);
+    if (found != peers_.end() && found->second.match_ >= commit_ &&
+        commit_ > 0) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+Raft::IsCurrent() const
+{
+  return role_ == Role::Leader && commit_ > 0 &&
+         TermAt(commit_) == hard_.term();
+}
+
+bool
+Raft::MayChangeVoters() const
+{
+  return IsCurrent() && commit_ >= votersIndex_;
+}
+
+// ---- Replication, follower's side
+
+bool
+Raft::AcceptLeader(const VoterId& aFrom,
+                   std::uint64_t aTerm,
+                   Time aNow,
+                   RaftActions& aOut)
+{
+  if (aTerm < hard_.term()) {
+    return false;
+  }
+  if (aTerm > hard_.term() || role_ != Role::Follower) {
+    StepDown(aTerm, aNow, aOut);
+  }
+  leader_ = aFrom;
+  loyalUntil_ = aNow + timing_.electionMin_;
+  ResetElection(aNow);
+  return true;
+}
+
+void
+Raft::ReceiveAppend(const VoterId& aFrom,
+                    const wire::AppendRequest& aRequest,
+                    Time aNow,
+                    RaftActions& aOut)
+{
+  auto message = MakeMessage();
+  auto& reply = *message.mutable_append_reply();
+  reply.set_sent_us(aRequest.sent_us());
+  if (AcceptLeader(aFrom, aRequest.term(), aNow, aOut)) {
+    const bool matched = StoreEntries(aRequest, aOut);
+    reply.set_matched(matched);
+    if (matched) {
+      const std::uint64_t last =
+        aRequest.prev_index() +
+        static_cast<std::uint64_t>(aRequest.entries_size());
+      reply.set_match_index(last);
+      AdvanceCommit(std::min(aRequest.commit(), last), aOut);
+    } else {
+      // Committed entries never differ, so that it can go on from there.
+      reply.set_match_index(std::min(
+        commit_, aRequest.prev_index() == 0 ? 0 : aRequest.prev_index() - 1));
+    }
+  }
+  reply.set_term(hard_.term());
+  aOut.push_back(SendVoter{ aFrom, std::move(message) });
+}
+
+// False if the log does not contain the entry before the new ones.
+bool
+Raft::StoreEntries(const wire::AppendRequest& aRequest, RaftActions& aOut)
+{
+  const std::uint64_t prev = aRequest.prev_index();
+  if (prev > LastIndex()) {
+    return false;
+  }
+  if (prev >= snapshot_.index() && TermAt(prev) != aRequest.prev_term()) {
+    return false;
+  }
+  std::vector<wire::Change> fresh;
+  for (const auto& entry : aRequest.entries()) {
+    const bool known =
+      entry.index() <= snapshot_.index() ||
+      (entry.index() <= LastIndex() && TermAt(entry.index()) == entry.term());
+    if (known && fresh.empty()) {
+      continue;
+    }
+    if (fresh.empty()) {
+      log_.resize(entry.index() - snapshot_.index() - 1);
+    }
+    log_.push_back(entry);
+    fresh.push_back(entry);
+  }
+  if (!fresh.empty()) {
+    UpdateVoters();
+    aOut.push_back(SaveEntries{ std::move(fresh) });
+  }
+  return true;
+}
+
+void
+Raft::ReceiveSnapshot(const VoterId& aFrom,
+                      const wire::SnapshotRequest& aRequest,
+                      Time aNow,
+                      RaftActions& aOut)
+{
+  auto message = MakeMessage();
+  auto& reply = *message.mutable_append_reply();
+  reply.set_sent_us(aRequest.sent_us());
+  if (AcceptLeader(aFrom, aRequest.term(), aNow, aOut)) {
+    const auto& snapshot = aRequest.snapshot();
+    const bool newer = snapshot.index() > commit_ || IsBlank();
+    if (newer) {
+      snapshot_ = snapshot;
+      log_.clear();
+      commit_ = snapshot.index();
+      UpdateVoters();
+      aOut.push_back(SaveSnapshot{ snapshot_, {} });
+      aOut.push_back(ApplySnapshot{ snapshot_ });
+    }
+    reply.set_matched(true);
+    reply.set_match_index(std::min(commit_, snapshot.index()));
+  }
+  reply.set_term(hard_.term());
+  aOut.push_back(SendVoter{ aFrom, std::move(message) });
+}
+
+void
+Raft::Receive(const wire::ControlMessage& aMessage,
+              Time aNow,
+              RaftActions& aOut)
+{
+  const VoterId& from = aMessage.from_voter();
+  if (from.empty() || from == self_) {
+    return;
+  }
+  switch (aMessage.body_case()) {
+    case wire::ControlMessage::kVote:
+      ReceiveVote(from, aMessage.vote(), aNow, aOut);
+      break;
+    case wire::ControlMessage::kVoteReply:
+      ReceiveVoteReply(from, aMessage.vote_reply(), aNow, aOut);
+      break;
+    case wire::ControlMessage::kAppend:
+      ReceiveAppend(from, aMessage.append(), aNow, aOut);
+      break;
+    case wire::ControlMessage::kAppendReply:
+      ReceiveAppendReply(from, aMessage.append_reply(), aNow, aOut);
+      break;
+    case wire::ControlMessage::kSnapshot:
+      ReceiveSnapshot(from, aMessage.snapshot(), aNow, aOut);
+      break;
+    default:
+      break;
+  }
+}
+
+} // namespace jaydoor
--- a/control/Rules.cpp
+++ b/control/Rules.cpp
@@ -304,12 +304,11 @@
   RuleReader read_;
 };
 
-constexpr std::array kVerbs = { Verb{ "stale", ReadStale },
-                                Verb{ "rank", ReadRank },
-                                Verb{ "deadline", ReadDeadline },
-                                Verb{ "floor", ReadFloor },
-                                Verb{ "traffic", ReadTraffic },
-                                Verb{ "share", ReadShare } };
+constexpr std::array kVerbs = {
+  Verb{ "stale", ReadStale },       Verb{ "rank", ReadRank },
+  Verb{ "deadline", ReadDeadline }, Verb{ "floor", ReadFloor },
+  Verb{ "traffic", ReadTraffic },   Verb{ "share", ReadShare }
+};
 
 Expected<bool>
 ReadLine(std::string_view aText, std::size_t aNumber, Rules& aRules)
@@ -322,14 +321,12 @@
   if (line.words_.empty()) {
     return true; // a blank line, or a comment of its own
   }
-  const bool named = hash != std::string_view::npos &&
-                     aText.find_first_not_of(kBlanks, hash + 1) !=
-                       std::string_view::npos;
+  const bool named =
+    hash != std::string_view::npos &&
+    aText.find_first_not_of(kBlanks, hash + 1) != std::string_view::npos;
   if (!named) {
-    return RuleError(line,
-                     line.endColumn_,
-                     "a comment '# who asked for it'",
-                     "end of line");
+    return RuleError(
+      line, line.endColumn_, "a comment '# who asked for it'", "end of line");
   }
   const Word& first = line.words_.front();
   for (const auto& verb : kVerbs) {
--- a/control/Rules.h
+++ b/control/Rules.h
@@ -102,6 +102,7 @@
 
 // Reads the whole text. The error names line, column, what was expected and
 // the remedy.
-Expected<Rules> ParseRules(std::string_view aText);
+Expected<Rules>
+ParseRules(std::string_view aText);
 
 } // namespace jaydoor
--- /dev/null
+++ b/daemon/AdminJson.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// JSON bodies of the operators' API.
+//
+//   GET  /v1/status         VMs, upstreams, primaries, versions in force
+//   GET  /v1/rules          the rules in force and their version
+//   GET  /v1/rules/history  the kept versions
+//   POST /v1/rules          {"text","base_version","request","author"}
+
+#include "base/Error.h"
+#include "control/ControlNode.h"
+#include "daemon/TrafficShell.h"
+
+#include <span>
+#include <string>
+
+namespace jaydoor {
+
+std::string
+WriteStatus(const ControlNode& aNode,
+            std::span<const TrafficShell::UpstreamFigures> aFigures);
+std::string
+WriteRules(const ControlState& aState);
+std::string
+WriteRulesHistory(const ControlState& aState);
+std::string
+WriteRuleOutcome(const std::optional<wire::RuleOutcome>& aOutcome);
+std::string
+WriteProblem(std::string_view aMessage);
+Expected<wire::RuleChange>
+ParseRuleChange(std::string_view aBody);
+
+} // namespace jaydoor
--- /dev/null
+++ b/daemon/ControlShell.cpp
@@ -0,0 +1,461 @@
+#include "daemon/ControlShell.h"
+
+#include "control/ControlNode.h"
+#include "daemon/AdminJson.h"
+#include "daemon/Clock.h"
+#include "daemon/Http.h"
+#include "daemon/Link.h"
+#include "daemon/Metrics.h"
+#include "daemon/VoterDisk.h"
+
+#include <map>
+#include <random>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+
+namespace jaydoor {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kUpstreamCallLimit = 400ms;
+constexpr Duration kOperatorLimit = 8s;
+
+bool
+IsSameSecret(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         CRYPTO_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+wire::Vm
+DescribeSelf(const Settings& aSettings)
+{
+  wire::Vm self;
+  self.set_id(aSettings.vm_);
+  self.set_zone(aSettings.zone_);
+  self.set_host(aSettings.host_);
+  self.set_control_port(aSettings.controlPort_);
+  self.set_traffic_port(aSettings.trafficPort_);
+  // Each start is later than the one before, so that it outdates it.
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  self.set_incarnation(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+  return self;
+}
+
+} // namespace
+
+struct ControlShell::Impl
+{
+  // A request that waits for another thread or the control log.
+  struct Pending
+  {
+    explicit Pending(asio::io_context& aContext)
+      : done_(aContext, kOperatorLimit)
+    {
+    }
+
+    asio::steady_timer done_;
+    std::string body_;
+    unsigned status_ = 504;
+  };
+  using PendingPtr = std::shared_ptr<Pending>;
+
+  Impl(const Settings& aSettings, TrafficShell& aTraffic)
+    : settings_(aSettings)
+    , traffic_(aTraffic)
+    , timer_(context_)
+    , http_(context_,
+            HttpLimits{},
+            [this](HttpCall aCall) { return Serve(std::move(aCall)); })
+    , link_(context_,
+            aSettings.bind_,
+            { aSettings.linkPublicKey_, aSettings.linkSecretKey_ },
+            [this](std::string_view aBytes) { TakeLink(aBytes); })
+  {
+  }
+
+  Expected<bool> Open()
+  {
+    ControlConfig config;
+    config.self_ = DescribeSelf(settings_);
+    config.seeds_ = settings_.peers_;
+    config.voterVms_ = settings_.voters_;
+    config.seed_ = std::random_device{}();
+    std::optional<RaftDisk> disk;
+    if (!settings_.dataFolder_.empty()) {
+      auto opened = disk_.Open(settings_.dataFolder_);
+      if (!opened) {
+        return tl::unexpected(opened.error());
+      }
+      disk = std::move(*opened);
+      config.self_.set_voter(settings_.vm_ + "/" + disk_.Id());
+      if (disk_.TornBytes() > 0) {
+        LogEvent(Event::DiskTailTorn, "bytes={}", disk_.TornBytes());
+      }
+    }
+    node_.emplace(std::move(config), std::move(disk));
+    for (const auto& peer : settings_.peers_) {
+      SetPeer(peer);
+    }
+    const auto bound = link_.Bind(settings_.controlPort_);
+    if (!bound) {
+      return bound;
+    }
+    const auto port = http_.Listen(settings_.bind_, settings_.adminPort_);
+    if (!port) {
+      return tl::unexpected(port.error());
+    }
+    Tick();
+    return true;
+  }
+
+  void SetPeer(const wire::Vm& aVm)
+  {
+    if (aVm.id() != settings_.vm_) {
+      link_.SetPeer(
+        aVm.id(), aVm.host(), static_cast<std::uint16_t>(aVm.control_port()));
+    }
+  }
+
+  void Tick()
+  {
+    Step(TakeControlTick{});
+    timer_.expires_at(std::chrono::steady_clock::time_point(
+      node_->NextWake(ReadClock()).time_since_epoch()));
+    timer_.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        Tick();
+      }
+    });
+  }
+
+  void Step(ControlEvent aEvent)
+  {
+    ControlActions actions;
+    node_->Step(std::move(aEvent), ReadClock(), actions);
+    for (auto& action : actions) {
+      const bool save = std::holds_alternative<SaveHardState>(action) ||
+                        std::holds_alternative<SaveEntries>(action) ||
+                        std::holds_alternative<SaveSnapshot>(action);
+      if (!save) {
+        CheckDisk(disk_.Sync());
+      }
+      std::visit([this](auto& aCase) { Perform(aCase); }, action);
+    }
+    CheckDisk(disk_.Sync());
+  }
+
+  // A voter that can't write must not go on: what it says would not last.
+  static void CheckDisk(const Expected<bool>& aResult)
+  {
+    if (!aResult) {
+      LogEvent(Event::DiskFailed, "{}", aResult.error().message_);
+      std::_Exit(1);
+    }
+  }
+
+  void Perform(SaveHardState& aAction) { disk_.Save(aAction); }
+  void Perform(SaveEntries& aAction) { disk_.Save(aAction); }
+  void Perform(SaveSnapshot& aAction) { CheckDisk(disk_.Save(aAction)); }
+
+  void Perform(SendVm& aAction)
+  {
+    link_.Send(aAction.to_, aAction.message_.SerializeAsString());
+  }
+
+  void Perform(PublishView& aAction)
+  {
+    const auto vms = node_->Members().LiveVms();
+    for (const auto& vm : vms) {
+      SetPeer(vm);
+    }
+    traffic_.SetView(aAction.view_, vms);
+  }
+
+  void Perform(ControlNote& aAction)
+  {
+    WriteEvent(aAction.event_, aAction.text_);
+  }
+
+  void Perform(AnswerOperator& aAction)
+  {
+    const auto found = operators_.find(aAction.operator_);
+    if (found == operators_.end()) {
+      return;
+    }
+    const auto& outcome = aAction.outcome_;
+    Finish(*found->second,
+           !outcome ? 504U : (outcome->accepted() ? 200U : 409U),
+           WriteRuleOutcome(outcome));
+    operators_.erase(found);
+  }
+
+  // ---- Calls to upstreams
+
+  void Perform(CallUpstream& aAction)
+  {
+    const std::uint64_t call = aAction.call_;
+    const UpstreamOp op = aAction.request_.op_;
+    const std::string body = WriteUpstreamRequest(aAction.request_);
+    HttpClientEvents events;
+    events.opened_ = [this, call, op, body] {
+      calls_.at(call)->Post(PathOf(op), body);
+    };
+    events.lost_ = [this, call] { EndCall(call, std::nullopt); };
+    events.answered_ = [this, call](unsigned aStatus, std::string aBody) {
+      auto answer = ParseUpstreamAnswer(aBody);
+      const bool good = aStatus == 200 && answer.has_value();
+      EndCall(call, good ? std::optional(std::move(*answer)) : std::nullopt);
+    };
+    const auto client =
+      std::make_shared<HttpClient>(context_, std::move(events));
+    calls_[call] = client;
+    client->Open(aAction.host_, aAction.port_, settings_.bind_);
+    auto limit = std::make_shared<asio::steady_timer>(context_);
+    limit->expires_after(kUpstreamCallLimit);
+    limit->async_wait([this, call, limit](boost::system::error_code) {
+      EndCall(call, std::nullopt);
+    });
+  }
+
+  void EndCall(std::uint64_t aCall, std::optional<UpstreamAnswer> aAnswer)
+  {
+    const auto found = calls_.find(aCall);
+    if (found == calls_.end()) {
+      return;
+    }
+    const auto client = found->second;
+    calls_.erase(found);
+    client->Close();
+    asio::post(context_, [client] {});
+    Step(TakeUpstreamAnswer{ aCall, std::move(aAnswer) });
+  }
+
+  // ---- Other VMs
+
+  void TakeLink(std::string_view aBytes)
+  {
+    wire::ControlMessage message;
+    const bool read =
+      message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
+    if (!read || message.to() != settings_.vm_) {
+      LogEvent(Event::LinkRefused,
+               "bytes={} from={}; check that both VMs run the same version",
+               aBytes.size(),
+               message.from());
+      return;
+    }
+    Step(TakeControlMessage{ std::move(message) });
+  }
+
+  // ---- Operators and upstreams
+
+  asio::awaitable<HttpReply> Serve(HttpCall aCall)
+  {
+    HttpReply reply;
+    if (aCall.path_ == "/v1/announce") {
+      co_return ServeAnnounce(aCall);
+    }
+    if (!IsSameSecret(aCall.secret_, settings_.operatorSecret_)) {
+      LogEvent(Event::OperatorRefused, "path={}", aCall.path_);
+      reply.status_ = 401;
+      reply.body_ = WriteProblem("send the operators' secret as 'Authorization:"
+                                 " Bearer SECRET'");
+      co_return reply;
+    }
+    const bool get = aCall.method_ == "GET";
+    if (aCall.path_ == "/v1/rules" && !get) {
+      co_return co_await ServeRuleChange(aCall);
+    }
+    if (aCall.path_ == "/v1/rules") {
+      reply.body_ = WriteRules(node_->State());
+    } else if (aCall.path_ == "/v1/rules/history") {
+      reply.body_ = WriteRulesHistory(node_->State());
+    } else if (aCall.path_ == "/v1/status") {
+      co_return co_await ServeStatus();
+    } else if (aCall.path_ == "/metrics") {
+      co_return co_await ServeMetrics();
+    } else if (aCall.path_ == "/v1/drain" || aCall.path_ == "/v1/resume") {
+      const bool on = aCall.path_ == "/v1/drain";
+      Drain(on);
+      reply.body_ = on ? R"({"state":"draining"})" : R"({"state":"serving"})";
+    } else {
+      reply.status_ = 404;
+      reply.body_ = WriteProblem("see docs/OPERATIONS.md for the paths");
+    }
+    co_return reply;
+  }
+
+  HttpReply ServeAnnounce(const HttpCall& aCall)
+  {
+    HttpReply reply;
+    if (!settings_.announceSecret_.empty() &&
+        !IsSameSecret(aCall.secret_, settings_.announceSecret_)) {
+      reply.status_ = 401;
+      reply.body_ = WriteProblem("announce with the upstreams' secret");
+      return reply;
+    }
+    auto upstream = ParseAnnounce(aCall.body_);
+    if (!upstream) {
+      reply.status_ = 400;
+      reply.body_ = WriteProblem(upstream.error().message_);
+      return reply;
+    }
+    Step(TakeAnnounce{ std::move(*upstream) });
+    reply.body_ = "{}";
+    return reply;
+  }
+
+  asio::awaitable<HttpReply> Wait(PendingPtr aPending)
+  {
+    boost::system::error_code ignored;
+    if (aPending->body_.empty()) {
+      co_await aPending->done_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    HttpReply reply;
+    reply.status_ = aPending->status_;
+    reply.body_ = aPending->body_;
+    co_return reply;
+  }
+
+  static void Finish(Pending& aPending, unsigned aStatus, std::string aBody)
+  {
+    aPending.status_ = aStatus;
+    aPending.body_ = std::move(aBody);
+    aPending.done_.cancel();
+  }
+
+  asio::awaitable<HttpReply> ServeRuleChange(const HttpCall& aCall)
+  {
+    auto change = ParseRuleChange(aCall.body_);
+    if (!change) {
+      HttpReply reply;
+      reply.status_ = 400;
+      reply.body_ = WriteProblem(change.error().message_);
+      co_return reply;
+    }
+    auto pending = std::make_shared<Pending>(context_);
+    const std::uint64_t id = nextOperator_++;
+    operators_[id] = pending;
+    Step(TakeRuleChange{ id, std::move(*change) });
+    co_return co_await Wait(pending);
+  }
+
+  asio::awaitable<HttpReply> ServeStatus()
+  {
+    auto pending = std::make_shared<Pending>(context_);
+    traffic_.CollectUpstreams([this, pending](auto aFigures) {
+      asio::post(context_, [this, pending, figures = std::move(aFigures)] {
+        Finish(*pending, 200, WriteStatus(*node_, figures));
+      });
+    });
+    co_return co_await Wait(pending);
+  }
+
+  asio::awaitable<HttpReply> ServeMetrics()
+  {
+    auto pending = std::make_shared<Pending>(context_);
+    traffic_.CollectMetrics([this, pending](std::string aText) {
+      asio::post(context_, [this, pending, text = std::move(aText)]() mutable {
+        Finish(*pending, 200, WriteControlMetrics() + text);
+      });
+    });
+    HttpReply reply = co_await Wait(pending);
+    reply.type_ = "text/plain; version=0.0.4";
+    co_return reply;
+  }
+
+  std::string WriteControlMetrics() const
+  {
+    std::string text;
+    const auto add = [&text](std::string_view aName, std::uint64_t aValue) {
+      AppendMetric(text, aName, "", static_cast<double>(aValue));
+    };
+    const ControlCounters& counters = node_->Counters();
+    add("jaydoor_control_messages_out_total", counters.messagesOut_);
+    add("jaydoor_control_bytes_out_total", counters.bytesOut_);
+    add("jaydoor_control_messages_in_total", counters.messagesIn_);
+    add("jaydoor_control_bytes_in_total", counters.bytesIn_);
+    add("jaydoor_control_index", node_->State().Index());
+    add("jaydoor_rules_version", node_->State().RulesVersion());
+    add("jaydoor_rules_proven", node_->IsProven() ? 1 : 0);
+    add("jaydoor_live_vms", node_->Members().LiveVms().size());
+    const Raft* raft = node_->Consensus();
+    add("jaydoor_is_leader", raft != nullptr && raft->IsLeader() ? 1 : 0);
+    add("jaydoor_links_refused_total", link_.Refused());
+    return text;
+  }
+
+  void Drain(bool aOn)
+  {
+    Step(TakeLeave{ aOn });
+    traffic_.Drain(aOn);
+  }
+
+  Settings settings_;
+  TrafficShell& traffic_;
+  asio::io_context context_{ 1 };
+  VoterDisk disk_;
+  std::optional<ControlNode> node_;
+  asio::steady_timer timer_;
+  HttpServer http_;
+  Link link_;
+  std::map<std::uint64_t, std::shared_ptr<HttpClient>> calls_;
+  std::map<std::uint64_t, PendingPtr> operators_;
+  std::uint64_t nextOperator_ = 1;
+};
+
+ControlShell::ControlShell(const Settings& aSettings, TrafficShell& aTraffic)
+  : impl_(std::make_unique<Impl>(aSettings, aTraffic))
+{
+}
+
+ControlShell::~ControlShell() = default;
+
+Expected<bool>
+ControlShell::Start()
+{
+  return impl_->Open();
+}
+
+void
+ControlShell::Run()
+{
+  impl_->context_.run();
+}
+
+void
+ControlShell::Suspect(wire::Suspicion aSuspicion)
+{
+  asio::post(impl_->context_, [this, suspicion = std::move(aSuspicion)] {
+    impl_->Step(TakeSuspicion{ suspicion });
+  });
+}
+
+void
+ControlShell::DrainAndStop()
+{
+  asio::post(impl_->context_, [this] {
+    impl_->Drain(true);
+    auto limit = std::make_shared<asio::steady_timer>(impl_->context_);
+    limit->expires_after(impl_->settings_.drainLimit_);
+    limit->async_wait([this, limit](boost::system::error_code) { Stop(); });
+    impl_->traffic_.WhenIdle([this] { Stop(); });
+  });
+}
+
+void
+ControlShell::Stop()
+{
+  asio::post(impl_->context_, [this] { impl_->context_.stop(); });
+}
+
+} // namespace jaydoor
--- a/daemon/Http.cpp
+++ b/daemon/Http.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -125,8 +126,10 @@
     parser.header_limit(limits_.headerBytes_);
     parser.body_limit(limits_.bodyBytes_);
     aStream.expires_after(limits_.headTimeout_);
-    co_await http::async_read(
-      aStream, aBuffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read(aStream,
+                              aBuffer,
+                              parser,
+                              asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       co_await Refuse(aStream, error);
       co_return false;
@@ -276,10 +279,17 @@
   {
   }
 
-  void Open(const std::string& aHost, std::uint16_t aPort)
+  void Open(const std::string& aHost,
+            std::uint16_t aPort,
+            const std::string& aFrom)
   {
     boost::system::error_code error;
     const auto address = asio::ip::make_address(aHost, error);
+    if (!error && !aFrom.empty()) {
+      const auto from = asio::ip::make_address(aFrom, error);
+      stream_.socket().open(from.is_v6() ? Tcp::v6() : Tcp::v4());
+      stream_.socket().bind(Tcp::endpoint(from, 0), error);
+    }
     if (error) {
       asio::post(stream_.get_executor(),
                  [self = shared_from_this()] { self->Lose(); });
@@ -323,7 +333,7 @@
     busy_ = true;
     boost::system::error_code ignored;
     request_ = {};
-    request_.method(http::verb::post);
+    request_.method(aBody.empty() ? http::verb::get : http::verb::post);
     request_.version(11);
     request_.target(beast::string_view(aPath.data(), aPath.size()));
     request_.set(http::field::host, host_);
@@ -337,35 +347,33 @@
     }
     request_.body() = std::move(aBody);
     request_.prepare_payload();
-    http::async_write(
-      stream_,
-      request_,
-      [self = shared_from_this()](boost::system::error_code aError,
-                                  std::size_t) {
-        if (aError) {
-          self->Lose();
-        } else {
-          self->Read();
-        }
-      });
+    http::async_write(stream_,
+                      request_,
+                      [self = shared_from_this()](
+                        boost::system::error_code aError, std::size_t) {
+                        if (aError) {
+                          self->Lose();
+                        } else {
+                          self->Read();
+                        }
+                      });
   }
 
   void Read()
   {
     parser_.emplace();
     parser_->body_limit(kMaxAnswerBytes);
-    http::async_read(
-      stream_,
-      buffer_,
-      *parser_,
-      [self = shared_from_this()](boost::system::error_code aError,
-                                  std::size_t) {
-        if (aError) {
-          self->Lose();
-        } else {
-          self->Finish();
-        }
-      });
+    http::async_read(stream_,
+                     buffer_,
+                     *parser_,
+                     [self = shared_from_this()](
+                       boost::system::error_code aError, std::size_t) {
+                       if (aError) {
+                         self->Lose();
+                       } else {
+                         self->Finish();
+                       }
+                     });
   }
 
   void Finish()
@@ -419,9 +427,11 @@
 }
 
 void
-HttpClient::Open(const std::string& aHost, std::uint16_t aPort)
+HttpClient::Open(const std::string& aHost,
+                 std::uint16_t aPort,
+                 const std::string& aFrom)
 {
-  impl_->Open(aHost, aPort);
+  impl_->Open(aHost, aPort, aFrom);
 }
 
 void
@@ -439,4 +449,119 @@
   impl_->Close();
 }
 
+// ---- Caller
+
+struct HttpCaller::Impl : std::enable_shared_from_this<HttpCaller::Impl>
+{
+  Impl(asio::io_context& aContext,
+       std::string aHost,
+       std::uint16_t aPort,
+       std::string aFrom)
+    : context_(aContext)
+    , done_(aContext)
+    , host_(std::move(aHost))
+    , from_(std::move(aFrom))
+    , port_(aPort)
+  {
+  }
+
+  void Connect()
+  {
+    HttpClientEvents events;
+    events.opened_ = [this] { Send(); };
+    events.lost_ = [this] {
+      open_ = false;
+      done_.cancel();
+    };
+    events.answered_ = [this](unsigned aStatus, std::string aBody) {
+      answer_ = { aStatus, std::move(aBody) };
+      done_.cancel();
+    };
+    client_ = std::make_unique<HttpClient>(context_, std::move(events));
+    client_->Open(host_, port_, from_);
+  }
+
+  void Send()
+  {
+    open_ = true;
+    client_->Post(path_, std::move(body_), secret_, trace_);
+  }
+
+  asio::awaitable<HttpAnswer> Call(Duration aLimit)
+  {
+    auto self = shared_from_this();
+    answer_ = {};
+    done_.expires_after(aLimit);
+    if (open_) {
+      Send();
+    } else {
+      Connect();
+    }
+    boost::system::error_code ignored;
+    co_await done_.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+    if (answer_.status_ == 0) {
+      Close();
+    }
+    co_return std::move(answer_);
+  }
+
+  void Close()
+  {
+    open_ = false;
+    if (client_) {
+      client_->Close();
+    }
+  }
+
+  asio::io_context& context_;
+  asio::steady_timer done_;
+  std::unique_ptr<HttpClient> client_;
+  std::string host_;
+  std::string from_;
+  std::uint16_t port_;
+  std::string path_;
+  std::string body_;
+  std::string secret_;
+  std::string trace_;
+  HttpAnswer answer_;
+  bool open_ = false;
+};
+
+HttpCaller::HttpCaller(asio::io_context& aContext,
+                       std::string aHost,
+                       std::uint16_t aPort,
+                       std::string aFrom)
+  : impl_(std::make_shared<Impl>(aContext,
+                                 std::move(aHost),
+                                 aPort,
+                                 std::move(aFrom)))
+{
+}
+
+HttpCaller::~HttpCaller()
+{
+  impl_->Close();
+}
+
+asio::awaitable<HttpAnswer>
+HttpCaller::Call(std::string aPath,
+                 std::string aBody,
+                 Duration aLimit,
+                 std::string aSecret,
+                 std::string aTrace)
+{
+  impl_->path_ = std::move(aPath);
+  impl_->body_ = std::move(aBody);
+  impl_->secret_ = std::move(aSecret);
+  impl_->trace_ = std::move(aTrace);
+  return impl_->Call(aLimit);
+}
+
+void
+HttpCaller::Close()
+{
+  impl_->Close();
+}
+
 } // namespace jaydoor
--- a/daemon/Http.h
+++ b/daemon/Http.h
@@ -5,8 +5,9 @@
 // Sections:
 //   1. Server: bounded bodies, headers and times; one handler for all paths
 //   2. Client connection: one request at a time, callbacks on its own thread
+//   3. Caller: requests as coroutines, over a connection that is kept
 //
-// Both run on the io_context they are given, which one thread runs.
+// All run on the io_context they are given, which one thread runs.
 
 #include "base/Error.h"
 #include "base/Time.h"
@@ -96,9 +97,13 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // Each call ends in exactly one of opened_ or lost_.
-  void Open(const std::string& aHost, std::uint16_t aPort);
+  // Each call ends in exactly one of opened_ or lost_. `aFrom`: IP to connect
+  // from, or empty.
+  void Open(const std::string& aHost,
+            std::uint16_t aPort,
+            const std::string& aFrom = {});
   // Each call ends in exactly one of answered_ or lost_, unless closed.
+  // An empty body is sent as a GET.
   void Post(std::string_view aPath,
             std::string aBody,
             std::string_view aSecret = {},
@@ -111,4 +116,36 @@
   std::shared_ptr<Impl> impl_;
 };
 
+// ---- 3. Caller
+
+struct HttpAnswer
+{
+  unsigned status_ = 0; // 0: no answer; the request may have been received
+  std::string body_;
+};
+
+class HttpCaller
+{
+public:
+  HttpCaller(boost::asio::io_context& aContext,
+             std::string aHost,
+             std::uint16_t aPort,
+             std::string aFrom = {});
+  ~HttpCaller();
+  HttpCaller(const HttpCaller&) = delete;
+  HttpCaller& operator=(const HttpCaller&) = delete;
+
+  // One request at a time; connects first if there is no connection.
+  boost::asio::awaitable<HttpAnswer> Call(std::string aPath,
+                                          std::string aBody,
+                                          Duration aLimit,
+                                          std::string aSecret = {},
+                                          std::string aTrace = {});
+  void Close();
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
 } // namespace jaydoor
--- /dev/null
+++ b/daemon/Link.cpp
@@ -0,0 +1,266 @@
+#include "daemon/Link.h"
+
+#include <array>
+#include <map>
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <zmq.hpp>
+
+namespace jaydoor {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kHeartbeatMs = 300; // silent links are found by these
+constexpr int kHeartbeatTimeoutMs = 1000;
+constexpr int kReconnectMs = 50;
+constexpr int kReconnectMaxMs = 500;
+constexpr int kQueueMessages = 20'000; // per peer, then refused
+constexpr std::int64_t kMaxMessageBytes = 64L * 1024 * 1024;
+constexpr int kDrainBatch = 256;      // messages before others get a turn
+constexpr std::size_t kZ85Bytes = 41; // with the final zero
+constexpr char kAuthEndpoint[] = "inproc://zeromq.zap.01";
+
+// A socket whose readiness the io_context waits for.
+class WatchedSocket
+{
+public:
+  WatchedSocket(asio::io_context& aContext,
+                zmq::context_t& aZmq,
+                zmq::socket_type aType,
+                std::function<void()> aReady)
+    : socket_(aZmq, aType)
+    , descriptor_(aContext)
+    , ready_(std::move(aReady))
+  {
+    socket_.set(zmq::sockopt::linger, 0);
+  }
+
+  ~WatchedSocket() { descriptor_.release(); }
+  WatchedSocket(const WatchedSocket&) = delete;
+  WatchedSocket& operator=(const WatchedSocket&) = delete;
+
+  zmq::socket_t& Socket() { return socket_; }
+
+  void Start()
+  {
+    descriptor_.assign(socket_.get(zmq::sockopt::fd));
+    Wait();
+  }
+
+  // The descriptor only tells of changes, so that after each wait all that is
+  // there has to be taken.
+  void Wait()
+  {
+    if ((socket_.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+      asio::post(descriptor_.get_executor(), [this] { Run(); });
+      return;
+    }
+    descriptor_.async_wait(asio::posix::stream_descriptor::wait_read,
+                           [this](boost::system::error_code aError) {
+                             if (!aError) {
+                               Run();
+                             }
+                           });
+  }
+
+private:
+  void Run()
+  {
+    ready_();
+    Wait();
+  }
+
+  zmq::socket_t socket_;
+  asio::posix::stream_descriptor descriptor_;
+  std::function<void()> ready_;
+};
+
+struct Peer
+{
+  zmq::socket_t socket_;
+  std::string endpoint_;
+};
+
+std::string
+EndpointOf(const std::string& aHost, std::uint16_t aPort)
+{
+  return fmt::format("tcp://{}:{}", aHost, aPort);
+}
+
+} // namespace
+
+struct Link::Impl
+{
+  Impl(asio::io_context& aContext,
+       std::string aBind,
+       LinkKeys aKeys,
+       std::function<void(std::string_view)> aReceive)
+    : bind_(std::move(aBind))
+    , keys_(std::move(aKeys))
+    , receive_(std::move(aReceive))
+    , inbox_(aContext, zmq_, zmq::socket_type::pull, [this] { Drain(); })
+    , auth_(aContext, zmq_, zmq::socket_type::rep, [this] { Authorize(); })
+  {
+    Prepare(inbox_.Socket());
+    if (HasKeys()) {
+      auth_.Socket().bind(kAuthEndpoint);
+      auth_.Start();
+      inbox_.Socket().set(zmq::sockopt::zap_domain, "jaydoor");
+      inbox_.Socket().set(zmq::sockopt::curve_server, 1);
+      inbox_.Socket().set(zmq::sockopt::curve_secretkey, keys_.secret_);
+    }
+  }
+
+  bool HasKeys() const { return !keys_.public_.empty(); }
+
+  static void Prepare(zmq::socket_t& aSocket)
+  {
+    aSocket.set(zmq::sockopt::linger, 0);
+    aSocket.set(zmq::sockopt::sndhwm, kQueueMessages);
+    aSocket.set(zmq::sockopt::rcvhwm, kQueueMessages);
+    aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+    aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+    aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+    aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+  }
+
+  void Drain()
+  {
+    zmq::message_t message;
+    for (int i = 0; i < kDrainBatch; i++) {
+      if (!inbox_.Socket().recv(message, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      receive_({ static_cast<const char*>(message.data()), message.size() });
+    }
+  }
+
+  // Answers the library's question whether a client's key is known (ZAP).
+  // Parts: version, request, domain, address, identity, mechanism, key.
+  void Authorize()
+  {
+    std::vector<std::string> parts;
+    zmq::message_t part;
+    while (auth_.Socket().recv(part, zmq::recv_flags::dontwait)) {
+      parts.push_back(part.to_string());
+      if (part.more()) {
+        continue;
+      }
+      const bool known = parts.size() == 7 && parts[6] == ExpectedKey();
+      refused_ += known ? 0U : 1U;
+      const std::string request = parts.size() > 1 ? parts[1] : "";
+      const std::array<std::string, 6> reply = {
+        "1.0", request, known ? "200" : "400", "", "", ""
+      };
+      for (std::size_t i = 0; i < reply.size(); i++) {
+        const auto flags = i + 1 < reply.size() ? zmq::send_flags::sndmore
+                                                : zmq::send_flags::none;
+        auth_.Socket().send(zmq::buffer(reply[i]), flags);
+      }
+      parts.clear();
+    }
+  }
+
+  // The fleet's public key as the 32 bytes that clients present.
+  std::string ExpectedKey() const
+  {
+    std::array<std::uint8_t, 32> bytes{};
+    zmq_z85_decode(bytes.data(), keys_.public_.c_str());
+    return { bytes.begin(), bytes.end() };
+  }
+
+  std::string bind_;
+  LinkKeys keys_;
+  std::function<void(std::string_view)> receive_;
+  zmq::context_t zmq_;
+  WatchedSocket inbox_;
+  WatchedSocket auth_;
+  std::map<VmId, Peer> peers_;
+  std::uint64_t refused_ = 0;
+};
+
+Link::Link(asio::io_context& aContext,
+           std::string aBind,
+           LinkKeys aKeys,
+           std::function<void(std::string_view)> aReceive)
+  : impl_(std::make_unique<Impl>(aContext,
+                                 std::move(aBind),
+                                 std::move(aKeys),
+                                 std::move(aReceive)))
+{
+}
+
+Link::~Link() = default;
+
+Expected<bool>
+Link::Bind(std::uint16_t aPort)
+{
+  const std::string endpoint = EndpointOf(impl_->bind_, aPort);
+  try {
+    impl_->inbox_.Socket().bind(endpoint);
+  } catch (const zmq::error_t& error) {
+    return MakeError(
+      ErrorKind::Network,
+      fmt::format("can't bind {}: {}; choose a free port of this VM",
+                  endpoint,
+                  error.what()));
+  }
+  impl_->inbox_.Start();
+  return true;
+}
+
+void
+Link::SetPeer(const VmId& aVm, const std::string& aHost, std::uint16_t aPort)
+{
+  const std::string endpoint = EndpointOf(aHost, aPort);
+  const auto found = impl_->peers_.find(aVm);
+  if (found != impl_->peers_.end() && found->second.endpoint_ == endpoint) {
+    return;
+  }
+  impl_->peers_.erase(aVm);
+  zmq::socket_t socket(impl_->zmq_, zmq::socket_type::push);
+  Impl::Prepare(socket);
+  // Nothing is queued for a VM that is not connected.
+  socket.set(zmq::sockopt::immediate, 1);
+  if (impl_->HasKeys()) {
+    socket.set(zmq::sockopt::curve_serverkey, impl_->keys_.public_);
+    socket.set(zmq::sockopt::curve_publickey, impl_->keys_.public_);
+    socket.set(zmq::sockopt::curve_secretkey, impl_->keys_.secret_);
+  }
+  // "tcp://source;destination" connects from the source address.
+  socket.connect(fmt::format("tcp://{}:0;{}:{}", impl_->bind_, aHost, aPort));
+  impl_->peers_.emplace(aVm, Peer{ std::move(socket), endpoint });
+}
+
+bool
+Link::Send(const VmId& aVm, std::string_view aBytes)
+{
+  const auto found = impl_->peers_.find(aVm);
+  if (found == impl_->peers_.end()) {
+    return false;
+  }
+  const auto sent = found->second.socket_.send(
+    zmq::buffer(aBytes.data(), aBytes.size()), zmq::send_flags::dontwait);
+  return sent.has_value();
+}
+
+std::uint64_t
+Link::Refused() const
+{
+  return impl_->refused_;
+}
+
+LinkKeys
+MakeLinkKeys()
+{
+  std::array<char, kZ85Bytes> publicKey{};
+  std::array<char, kZ85Bytes> secretKey{};
+  zmq_curve_keypair(publicKey.data(), secretKey.data());
+  return { publicKey.data(), secretKey.data() };
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/daemon/TrafficShell.cpp
@@ -0,0 +1,425 @@
+#include "daemon/TrafficShell.h"
+
+#include "daemon/Clock.h"
+#include "daemon/Link.h"
+#include "daemon/Metrics.h"
+#include "daemon/TraceWriter.h"
+#include "wire/Json.h"
+
+#include <map>
+#include <random>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kIdlePoll = 20ms; // while a stopping VM waits
+
+unsigned
+StatusOf(const CallerAnswer& aAnswer)
+{
+  switch (aAnswer.outcome_) {
+    case Outcome::Done:
+      return 200;
+    case Outcome::Failed:
+      return 422;
+    case Outcome::Unknown:
+      return 504;
+    case Outcome::NotRun:
+      break;
+  }
+  const bool fault = aAnswer.reason_ == Reason::BadRequest ||
+                     aAnswer.reason_ == Reason::BadSession;
+  return fault ? 400 : 503;
+}
+
+TrafficConfig
+MakeConfig(const Settings& aSettings)
+{
+  TrafficConfig config;
+  config.self_ = aSettings.vm_;
+  config.zone_ = aSettings.zone_;
+  config.sessionKeys_ = aSettings.sessionKeys_;
+  config.seed_ = std::random_device{}();
+  config.probe_.silentAfter_ = aSettings.suspectAfter_;
+  return config;
+}
+
+} // namespace
+
+struct TrafficShell::Impl
+{
+  // A caller's request that has no answer yet.
+  struct Waiting
+  {
+    explicit Waiting(asio::io_context& aContext)
+      : done_(aContext, std::chrono::steady_clock::time_point::max())
+    {
+    }
+
+    asio::steady_timer done_; // cancelled when the answer is there
+    CallerAnswer answer_;
+    Rank rank_ = kDefaultRank;
+    Time startedAt_;
+  };
+
+  Impl(const Settings& aSettings, std::function<void(wire::Suspicion)> aSuspect)
+    : settings_(aSettings)
+    , suspect_(std::move(aSuspect))
+    , node_(MakeConfig(aSettings))
+    , timer_(context_)
+    , http_(context_,
+            HttpLimits{},
+            [this](HttpCall aCall) { return Serve(std::move(aCall)); })
+    , link_(context_,
+            aSettings.bind_,
+            { aSettings.linkPublicKey_, aSettings.linkSecretKey_ },
+            [this](std::string_view aBytes) { TakeLink(aBytes); })
+    , traces_(aSettings.traceFile_, aSettings.vm_)
+  {
+  }
+
+  void Step(TrafficEvent aEvent)
+  {
+    TrafficActions actions;
+    node_.Step(std::move(aEvent), ReadClock(), actions);
+    for (auto& action : actions) {
+      std::visit([this](auto& aCase) { Perform(aCase); }, action);
+    }
+    Schedule();
+  }
+
+  // Waits for the node's next time, unless an earlier wait stands.
+  void Schedule()
+  {
+    const Time next = node_.NextWake(ReadClock());
+    if (next >= wakeAt_ && waiting_) {
+      return;
+    }
+    wakeAt_ = next;
+    waiting_ = true;
+    timer_.expires_at(
+      std::chrono::steady_clock::time_point(next.time_since_epoch()));
+    timer_.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        waiting_ = false;
+        Step(TakeTick{});
+      }
+    });
+  }
+
+  // ---- Callers
+
+  asio::awaitable<HttpReply> Serve(HttpCall aCall)
+  {
+    HttpReply reply;
+    if (aCall.path_ == "/v1/health") {
+      reply.status_ = draining_ ? 503 : 200;
+      reply.body_ =
+        draining_ ? R"({"health":"draining"})" : R"({"health":"ok"})";
+      co_return reply;
+    }
+    if (aCall.path_ != "/v1/statement" || aCall.method_ != "POST") {
+      reply.status_ = 404;
+      reply.body_ = R"({"remedy":"POST /v1/statement or GET /v1/health"})";
+      co_return reply;
+    }
+    auto request = ParseCallerRequest(aCall.body_);
+    if (!request) {
+      CallerAnswer answer;
+      answer.reason_ = Reason::BadRequest;
+      answer.detail_ = request.error().message_;
+      reply.status_ = StatusOf(answer);
+      reply.body_ = WriteCallerAnswer(answer);
+      co_return reply;
+    }
+    request->trace_ = std::move(aCall.trace_);
+    if (!traces_.IsOpen()) {
+      request->trace_.clear();
+    }
+    const RequestId id = nextRequest_++;
+    auto waiting = std::make_shared<Waiting>(context_);
+    waiting->rank_ = request->rank_.value_or(kDefaultRank);
+    waiting->startedAt_ = ReadClock();
+    callers_[id] = waiting;
+    Step(TakeCaller{ id, std::move(*request) });
+    if (callers_.contains(id)) {
+      boost::system::error_code ignored;
+      co_await waiting->done_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    metrics_.NoteStatement(waiting->rank_,
+                           waiting->answer_.outcome_,
+                           ReadClock() - waiting->startedAt_);
+    reply.status_ = StatusOf(waiting->answer_);
+    reply.body_ = WriteCallerAnswer(waiting->answer_);
+    reply.close_ = draining_;
+    co_return reply;
+  }
+
+  void Perform(AnswerCaller& aAction)
+  {
+    const auto found = callers_.find(aAction.request_);
+    if (found == callers_.end()) {
+      return;
+    }
+    found->second->answer_ = std::move(aAction.answer_);
+    found->second->done_.cancel();
+    callers_.erase(found);
+  }
+
+  // ---- Upstreams
+
+  void Perform(OpenConnection& aAction)
+  {
+    const ConnectionId id = aAction.id_;
+    HttpClientEvents events;
+    events.opened_ = [this, id] { Step(TakeOpened{ id }); };
+    events.lost_ = [this, id] {
+      connections_.erase(id);
+      Step(TakeLost{ id });
+    };
+    events.answered_ = [this, id](unsigned aStatus, std::string aBody) {
+      TakeUpstream(id, aStatus, aBody);
+    };
+    const auto client =
+      std::make_shared<HttpClient>(context_, std::move(events));
+    connections_[id] = client;
+    client->Open(aAction.host_, aAction.port_, settings_.bind_);
+  }
+
+  void TakeUpstream(ConnectionId aId,
+                    unsigned aStatus,
+                    const std::string& aBody)
+  {
+    auto answer = ParseUpstreamAnswer(aBody);
+    if (aStatus != 200 || !answer) {
+      // What can't be understood proves nothing.
+      const auto found = connections_.find(aId);
+      if (found != connections_.end()) {
+        found->second->Close();
+        connections_.erase(found);
+      }
+      Step(TakeLost{ aId });
+      return;
+    }
+    Step(TakeAnswer{ aId, std::move(*answer) });
+  }
+
+  void Perform(CloseConnection& aAction)
+  {
+    const auto found = connections_.find(aAction.id_);
+    if (found != connections_.end()) {
+      // Closed now, destroyed once its own callback has returned.
+      auto client = std::move(found->second);
+      connections_.erase(found);
+      client->Close();
+      asio::post(context_, [client] {});
+    }
+  }
+
+  void Perform(SendUpstream& aAction)
+  {
+    const auto found = connections_.find(aAction.id_);
+    if (found != connections_.end()) {
+      found->second->Post(PathOf(aAction.request_.op_),
+                          WriteUpstreamRequest(aAction.request_));
+    }
+  }
+
+  // ---- Other VMs
+
+  void TakeLink(std::string_view aBytes)
+  {
+    wire::TrafficMessage message;
+    const bool read =
+      message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
+    if (!read || message.to() != settings_.vm_) {
+      LogEvent(Event::LinkRefused,
+               "bytes={} from={}; check that both VMs run the same version",
+               aBytes.size(),
+               message.from());
+      return;
+    }
+    Step(TakePeer{ std::move(message) });
+  }
+
+  void Perform(SendPeer& aAction)
+  {
+    wire::TrafficMessage& message = aAction.message_;
+    message.set_from(settings_.vm_);
+    message.set_to(aAction.to_);
+    message.set_sent_us(ReadClock().time_since_epoch().count());
+    if (!link_.Send(aAction.to_, message.SerializeAsString())) {
+      asio::post(context_, [this, unsent = std::move(message)]() mutable {
+        Step(TakePeerUnsent{ std::move(unsent) });
+      });
+    }
+  }
+
+  // ---- The rest
+
+  void Perform(ReportSuspicion& aAction)
+  {
+    if (aAction.suspicion_.suspected()) {
+      LogEvent(Event::PrimarySuspected,
+               "database={} server={} term={}",
+               aAction.suspicion_.database(),
+               aAction.suspicion_.server(),
+               aAction.suspicion_.term());
+    }
+    suspect_(std::move(aAction.suspicion_));
+  }
+
+  void Perform(WriteNote& aAction)
+  {
+    WriteEvent(aAction.event_, aAction.text_);
+  }
+
+  void Perform(EmitSpan& aAction) { traces_.Write(aAction); }
+
+  void PollIdle()
+  {
+    if (idle_ && node_.IsIdle() && callers_.empty()) {
+      std::exchange(idle_, nullptr)();
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(context_, kIdlePoll);
+    timer->async_wait([this, timer](boost::system::error_code) {
+      if (idle_) {
+        PollIdle();
+      }
+    });
+  }
+
+  Settings settings_;
+  std::function<void(wire::Suspicion)> suspect_;
+  asio::io_context context_{ 1 };
+  TrafficNode node_;
+  asio::steady_timer timer_;
+  Time wakeAt_;
+  bool waiting_ = false; // the timer runs
+  bool draining_ = false;
+  HttpServer http_;
+  Link link_;
+  TraceWriter traces_;
+  Metrics metrics_;
+  std::map<ConnectionId, std::shared_ptr<HttpClient>> connections_;
+  std::map<RequestId, std::shared_ptr<Waiting>> callers_;
+  RequestId nextRequest_ = 1;
+  std::function<void()> idle_;
+};
+
+TrafficShell::TrafficShell(const Settings& aSettings,
+                           std::function<void(wire::Suspicion)> aSuspect)
+  : impl_(std::make_unique<Impl>(aSettings, std::move(aSuspect)))
+{
+}
+
+TrafficShell::~TrafficShell() = default;
+
+Expected<bool>
+TrafficShell::Start()
+{
+  const Settings& settings = impl_->settings_;
+  const auto bound = impl_->link_.Bind(settings.trafficPort_);
+  if (!bound) {
+    return bound;
+  }
+  const auto port = impl_->http_.Listen(settings.bind_, settings.callerPort_);
+  if (!port) {
+    return tl::unexpected(port.error());
+  }
+  impl_->Schedule();
+  return true;
+}
+
+void
+TrafficShell::Run()
+{
+  impl_->context_.run();
+}
+
+void
+TrafficShell::SetView(FleetViewPtr aView, std::vector<wire::Vm> aVms)
+{
+  asio::post(
+    impl_->context_, [this, view = std::move(aView), vms = std::move(aVms)] {
+      for (const auto& vm : vms) {
+        if (vm.id() != impl_->settings_.vm_) {
+          impl_->link_.SetPeer(
+            vm.id(), vm.host(), static_cast<std::uint16_t>(vm.traffic_port()));
+        }
+      }
+      impl_->Step(TakeView{ view });
+    });
+}
+
+void
+TrafficShell::Drain(bool aOn)
+{
+  asio::post(impl_->context_, [this, aOn] {
+    impl_->draining_ = aOn;
+    impl_->Step(TakeDrain{ aOn });
+  });
+}
+
+void
+TrafficShell::WhenIdle(std::function<void()> aCallback)
+{
+  asio::post(impl_->context_, [this, callback = std::move(aCallback)] {
+    impl_->idle_ = callback;
+    impl_->PollIdle();
+  });
+}
+
+void
+TrafficShell::Stop()
+{
+  asio::post(impl_->context_, [this] { impl_->context_.stop(); });
+}
+
+void
+TrafficShell::CollectMetrics(std::function<void(std::string)> aCallback)
+{
+  asio::post(impl_->context_, [this, callback = std::move(aCallback)] {
+    std::string text = impl_->metrics_.WriteTraffic(impl_->node_);
+    AppendMetric(text,
+                 "jaydoor_caller_connections",
+                 "",
+                 static_cast<double>(impl_->http_.Connections()));
+    callback(std::move(text));
+  });
+}
+
+void
+TrafficShell::CollectUpstreams(
+  std::function<void(std::vector<UpstreamFigures>)> aCallback)
+{
+  asio::post(impl_->context_, [this, callback = std::move(aCallback)] {
+    std::vector<UpstreamFigures> figures;
+    for (const auto& [id, owner] : impl_->node_.Owners()) {
+      UpstreamFigures own;
+      own.server_ = id;
+      own.queued_ = owner.Queued();
+      own.connections_ = owner.Connections();
+      const auto watch = impl_->node_.Watches().find(owner.Info().database());
+      if (watch != impl_->node_.Watches().end()) {
+        own.point_ = watch->second.PointOf(id);
+        own.unreachable_ = watch->second.IsUnreachable(id);
+      }
+      figures.push_back(std::move(own));
+    }
+    callback(std::move(figures));
+  });
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/daemon/VoterDisk.cpp
@@ -0,0 +1,277 @@
+#include "daemon/VoterDisk.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace jaydoor {
+namespace {
+
+namespace fs = std::filesystem;
+
+enum class RecordKind : std::uint8_t
+{
+  HardState = 1,
+  Entries = 2, // a sequence of changes, as one ControlSnapshot-free Delta
+  Snapshot = 3,
+};
+
+// Before each record's payload.
+struct RecordHead
+{
+  std::uint64_t check_ = 0; // of kind and payload
+  std::uint32_t size_ = 0;  // of the payload
+  std::uint32_t kind_ = 0;
+};
+
+constexpr std::uint32_t kMaxRecord = 256U * 1024 * 1024;
+
+std::uint64_t
+CheckOf(std::string_view aPayload, std::uint32_t aKind)
+{
+  return XXH3_64bits_withSeed(aPayload.data(), aPayload.size(), aKind);
+}
+
+void
+AppendRecord(std::string& aBuffer, RecordKind aKind, std::string_view aPayload)
+{
+  RecordHead head;
+  head.kind_ = static_cast<std::uint32_t>(aKind);
+  head.size_ = static_cast<std::uint32_t>(aPayload.size());
+  head.check_ = CheckOf(aPayload, head.kind_);
+  aBuffer.append(reinterpret_cast<const char*>(&head), sizeof(head));
+  aBuffer.append(aPayload);
+}
+
+void
+AppendEntries(std::string& aBuffer, const std::vector<wire::Change>& aEntries)
+{
+  wire::Delta delta;
+  for (const auto& entry : aEntries) {
+    *delta.add_changes() = entry;
+  }
+  AppendRecord(aBuffer, RecordKind::Entries, delta.SerializeAsString());
+}
+
+// Entries replace what stands from the first one's index on.
+void
+LoadEntries(const wire::Delta& aDelta, RaftDisk& aDisk)
+{
+  if (aDelta.changes_size() == 0) {
+    return;
+  }
+  const std::uint64_t first = aDelta.changes(0).index();
+  const std::uint64_t base = aDisk.snapshot_.index();
+  if (first > base) {
+    aDisk.entries_.resize(first - base - 1);
+  }
+  for (const auto& change : aDelta.changes()) {
+    if (change.index() > base) {
+      aDisk.entries_.push_back(change);
+    }
+  }
+}
+
+tl::unexpected<Error>
+DiskError(const std::string& aPath, std::string_view aWhat)
+{
+  return MakeError(ErrorKind::Disk,
+                   fmt::format("can't {} '{}': {}; check space, permissions "
+                               "and health of the disk",
+                               aWhat,
+                               aPath,
+                               std::strerror(errno)));
+}
+
+void
+SyncFolder(const std::string& aFolder)
+{
+  const int folder = open(aFolder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder >= 0) {
+    fsync(folder);
+    close(folder);
+  }
+}
+
+} // namespace
+
+VoterDisk::~VoterDisk()
+{
+  if (file_ >= 0) {
+    close(file_);
+  }
+}
+
+Expected<bool>
+VoterDisk::WriteAll(int aFile, std::string_view aBytes)
+{
+  while (!aBytes.empty()) {
+    const ssize_t wrote = write(aFile, aBytes.data(), aBytes.size());
+    if (wrote < 0) {
+      return DiskError(folder_, "write");
+    }
+    aBytes.remove_prefix(static_cast<std::size_t>(wrote));
+  }
+  if (fdatasync(aFile) != 0) {
+    return DiskError(folder_, "sync");
+  }
+  return true;
+}
+
+Expected<bool>
+VoterDisk::ReadId()
+{
+  const std::string path = folder_ + "/disk-id";
+  std::ifstream in(path);
+  if (in >> id_ && id_.size() == 16) {
+    return true;
+  }
+  std::random_device random;
+  id_ = fmt::format("{:08x}{:08x}", random(), random());
+  const int file =
+    open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (file < 0) {
+    return DiskError(path, "create");
+  }
+  const auto wrote = WriteAll(file, id_ + "\n");
+  close(file);
+  SyncFolder(folder_);
+  return wrote;
+}
+
+Expected<RaftDisk>
+VoterDisk::Open(const std::string& aFolder)
+{
+  folder_ = aFolder;
+  std::error_code error;
+  fs::create_directories(folder_, error);
+  // Without its log the folder is a lost disk, whatever else it holds.
+  const std::string path = folder_ + "/log";
+  if (!fs::exists(path)) {
+    fs::remove(folder_ + "/disk-id", error);
+  }
+  const auto id = ReadId();
+  if (!id) {
+    return tl::unexpected(id.error());
+  }
+  std::string bytes;
+  {
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream text;
+    text << in.rdbuf();
+    bytes = text.str();
+  }
+  RaftDisk disk;
+  Load(bytes, disk);
+  hard_ = disk.hard_;
+  file_ = open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
+  const auto good = static_cast<off_t>(bytes.size() - torn_);
+  if (file_ < 0 || ftruncate(file_, good) != 0 || fdatasync(file_) != 0) {
+    return DiskError(path, "open");
+  }
+  lseek(file_, 0, SEEK_END);
+  SyncFolder(folder_);
+  return disk;
+}
+
+void
+VoterDisk::Load(std::string_view aBytes, RaftDisk& aDisk)
+{
+  while (!aBytes.empty()) {
+    torn_ = aBytes.size();
+    RecordHead head;
+    if (aBytes.size() < sizeof(head)) {
+      return;
+    }
+    std::memcpy(&head, aBytes.data(), sizeof(head));
+    const bool whole =
+      head.size_ <= kMaxRecord && aBytes.size() - sizeof(head) >= head.size_;
+    if (!whole) {
+      return;
+    }
+    const std::string_view payload = aBytes.substr(sizeof(head), head.size_);
+    if (CheckOf(payload, head.kind_) != head.check_) {
+      return;
+    }
+    const int size = static_cast<int>(payload.size());
+    bool read = false;
+    if (head.kind_ == static_cast<std::uint32_t>(RecordKind::HardState)) {
+      read = aDisk.hard_.ParseFromArray(payload.data(), size);
+    } else if (head.kind_ == static_cast<std::uint32_t>(RecordKind::Entries)) {
+      wire::Delta delta;
+      read = delta.ParseFromArray(payload.data(), size);
+      LoadEntries(delta, aDisk);
+    } else if (head.kind_ == static_cast<std::uint32_t>(RecordKind::Snapshot)) {
+      read = aDisk.snapshot_.ParseFromArray(payload.data(), size);
+      aDisk.entries_.clear();
+    }
+    if (!read) {
+      return;
+    }
+    aBytes.remove_prefix(sizeof(head) + head.size_);
+    torn_ = 0;
+  }
+}
+
+void
+VoterDisk::Save(const SaveHardState& aSave)
+{
+  hard_ = aSave.state_;
+  AppendRecord(buffer_, RecordKind::HardState, hard_.SerializeAsString());
+}
+
+void
+VoterDisk::Save(const SaveEntries& aSave)
+{
+  AppendEntries(buffer_, aSave.entries_);
+}
+
+// Writes the new file beside the old one and puts it in its place.
+Expected<bool>
+VoterDisk::Save(const SaveSnapshot& aSave)
+{
+  buffer_.clear(); // all of it is in the new file
+  std::string bytes;
+  AppendRecord(bytes, RecordKind::HardState, hard_.SerializeAsString());
+  AppendRecord(
+    bytes, RecordKind::Snapshot, aSave.snapshot_.SerializeAsString());
+  AppendEntries(bytes, aSave.entries_);
+  const std::string path = folder_ + "/log";
+  const std::string fresh = folder_ + "/log.new";
+  const int file =
+    open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (file < 0) {
+    return DiskError(fresh, "create");
+  }
+  const auto wrote = WriteAll(file, bytes);
+  if (!wrote || rename(fresh.c_str(), path.c_str()) != 0) {
+    close(file);
+    return wrote ? DiskError(path, "replace") : wrote;
+  }
+  SyncFolder(folder_);
+  close(file_);
+  file_ = file;
+  return true;
+}
+
+Expected<bool>
+VoterDisk::Sync()
+{
+  if (buffer_.empty()) {
+    return true;
+  }
+  const auto wrote = WriteAll(file_, buffer_);
+  buffer_.clear();
+  return wrote;
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/daemon/jaydoord_main.cpp
@@ -0,0 +1,105 @@
+// jaydoord: one entry VM's daemon.
+//
+// Two threads: this one runs control, a second one runs traffic. They share
+// nothing but what they post to each other.
+
+#include "control/Rules.h"
+#include "daemon/ControlShell.h"
+#include "daemon/Settings.h"
+#include "daemon/TrafficShell.h"
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+namespace {
+
+using namespace jaydoor;
+
+constexpr int kExitBadSetting = 2;
+
+int
+Refuse(Event aEvent, const Error& aError)
+{
+  LogEvent(aEvent, "{}", aError.message_);
+  return kExitBadSetting;
+}
+
+// Verifies what --check asks for.
+int
+Check(const Settings& aSettings)
+{
+  if (!aSettings.rulesFile_.empty()) {
+    const auto text = ReadTextFile(aSettings.rulesFile_);
+    if (!text) {
+      return Refuse(Event::RulesFileRefused, text.error());
+    }
+    const auto rules = ParseRules(*text);
+    if (!rules) {
+      return Refuse(Event::RulesFileRefused, rules.error());
+    }
+  }
+  std::cout << "check: ok\n";
+  return 0;
+}
+
+int
+Serve(const Settings& aSettings)
+{
+  std::unique_ptr<ControlShell> control;
+  TrafficShell traffic(aSettings, [&control](wire::Suspicion aSuspicion) {
+    control->Suspect(std::move(aSuspicion));
+  });
+  control = std::make_unique<ControlShell>(aSettings, traffic);
+  for (const auto& started : { traffic.Start(), control->Start() }) {
+    if (!started) {
+      return Refuse(Event::SettingRefused, started.error());
+    }
+  }
+  LogEvent(Event::Started,
+           "vm={} zone={} host={} caller_port={} admin_port={}",
+           aSettings.vm_,
+           aSettings.zone_,
+           aSettings.host_,
+           aSettings.callerPort_,
+           aSettings.adminPort_);
+  boost::asio::io_context signals(1);
+  boost::asio::signal_set stop(signals, SIGTERM, SIGINT);
+  stop.async_wait([&control](auto aError, int) {
+    if (!aError) {
+      LogEvent(Event::Stopping, "finishing what is in flight");
+      control->DrainAndStop();
+    }
+  });
+  std::thread trafficThread([&traffic] { traffic.Run(); });
+  std::thread signalThread([&signals] { signals.run(); });
+  control->Run();
+  traffic.Stop();
+  signals.stop();
+  trafficThread.join();
+  signalThread.join();
+  LogEvent(Event::Stopped, "vm={}", aSettings.vm_);
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const auto settings = ReadSettings(aCount, aArguments);
+  if (!settings) {
+    return Refuse(Event::SettingRefused, settings.error());
+  }
+  if (settings->help_) {
+    std::cout << settings->helpText_;
+    return 0;
+  }
+  SetLogLevel(settings->logLevel_);
+  std::signal(SIGPIPE, SIG_IGN);
+  return settings->checkOnly_ ? Check(*settings) : Serve(*settings);
+}
--- a/standin/Server.cpp
+++ b/standin/Server.cpp
@@ -13,68 +13,11 @@
 namespace json = boost::json;
 
 constexpr Duration kAnnounceEvery = 500ms;
-constexpr Duration kPullPause = 50ms;     // after a failed pull
+constexpr Duration kPullPause = 50ms; // after a failed pull
 constexpr Duration kPullTimeout = 500ms;
-constexpr Duration kLongPoll = 100ms;     // wait for new entries
+constexpr Duration kLongPoll = 100ms; // wait for new entries
 constexpr Duration kLongPollStep = 1ms;
-constexpr std::size_t kPullMax = 500;     // entries in one answer
-
-// One call on a connection of its own, as a coroutine.
-class OneCall : public std::enable_shared_from_this<OneCall>
-{
-public:
-  explicit OneCall(asio::io_context& aContext)
-    : done_(aContext)
-  {
-  }
-
-  asio::awaitable<std::string> Run(asio::io_context& aContext,
-                                   std::string aHost,
-                                   std::uint16_t aPort,
-                                   std::string aPath,
-                                   std::string aBody,
-                                   Duration aTimeout)
-  {
-    auto self = shared_from_this();
-    HttpClientEvents events;
-    events.opened_ = [this, aPath, aBody] { client_->Post(aPath, aBody); };
-    events.lost_ = [this] { done_.cancel(); };
-    events.answered_ = [this](unsigned, std::string aAnswer) {
-      answer_ = std::move(aAnswer);
-      done_.cancel();
-    };
-    client_ = std::make_unique<HttpClient>(aContext, std::move(events));
-    done_.expires_after(aTimeout);
-    client_->Open(aHost, aPort);
-    boost::system::error_code ignored;
-    co_await done_.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
-    client_->Close();
-    co_return answer_;
-  }
-
-private:
-  asio::steady_timer done_;
-  std::unique_ptr<HttpClient> client_;
-  std::string answer_;
-};
-
-asio::awaitable<std::string>
-CallOnce(asio::io_context& aContext,
-         std::string aHost,
-         std::uint16_t aPort,
-         std::string aPath,
-         std::string aBody,
-         Duration aTimeout)
-{
-  auto call = std::make_shared<OneCall>(aContext);
-  co_return co_await call->Run(aContext,
-                               std::move(aHost),
-                               aPort,
-                               std::move(aPath),
-                               std::move(aBody),
-                               aTimeout);
-}
+constexpr std::size_t kPullMax = 500; // entries in one answer
 
 } // namespace
 
@@ -107,9 +50,8 @@
   if (!opened) {
     return tl::unexpected(opened.error());
   }
-  const auto port =
-    http_.Listen(config_.info_.host(),
-                 static_cast<std::uint16_t>(config_.info_.port()));
+  const auto port = http_.Listen(
+    config_.bind_, static_cast<std::uint16_t>(config_.info_.port()));
   if (!port) {
     return port;
   }
@@ -136,13 +78,12 @@
 asio::awaitable<void>
 Server::Announce(std::string aHost, std::uint16_t aPort)
 {
+  HttpCaller caller(context_, aHost, aPort, config_.bind_);
   while (true) {
-    co_await CallOnce(context_,
-                      aHost,
-                      aPort,
-                      "/v1/announce",
-                      WriteAnnounce(config_.info_),
-                      kAnnounceEvery);
+    co_await caller.Call("/v1/announce",
+                         WriteAnnounce(config_.info_),
+                         kAnnounceEvery,
+                         config_.announceSecret_);
     co_await Sleep(kAnnounceEvery);
   }
 }
@@ -156,6 +97,7 @@
   answer.point_ = store_.Last();
   answer.promised_ = store_.Promised();
   answer.primary_ = role_ == Role::Primary;
+  answer.following_ = following_;
   return answer;
 }
 
@@ -180,8 +122,7 @@
   UpstreamAnswer answer;
   switch (*op) {
     case UpstreamOp::Execute:
-      answer =
-        co_await Execute(std::move(*request), aCall.connection_);
+      answer = co_await Execute(std::move(*request), aCall.connection_);
       break;
     case UpstreamOp::Status:
       answer = Status();
@@ -326,6 +267,7 @@
   if (aTerm > store_.Promised()) {
     store_.Promise(aTerm);
     role_ = Role::Replica;
+    following_ = false;
     generation_++;
     transactions_.clear();
   }
@@ -340,6 +282,7 @@
   }
   if (role_ != Role::Primary) {
     role_ = Role::Primary;
+    following_ = false;
     generation_++;
     // An entry of its own makes the term visible to those that follow.
     store_.Commit(aTerm, {});
@@ -356,7 +299,7 @@
   if (late || self) {
     return MakeAnswer(UpstreamResult::Refused, Reason::WrongTerm);
   }
-  const bool same = aRequest.term_ == store_.Promised() &&
+  const bool same = following_ && aRequest.term_ == store_.Promised() &&
                     primaryHost_ == aRequest.primaryHost_ &&
                     primaryPort_ == aRequest.primaryPort_;
   if (same) {
@@ -365,6 +308,7 @@
   Seal(aRequest.term_);
   primaryHost_ = aRequest.primaryHost_;
   primaryPort_ = aRequest.primaryPort_;
+  following_ = true;
   generation_++;
   asio::co_spawn(context_, Pull(generation_), asio::detached);
   return MakeAnswer(UpstreamResult::Done, Reason::None);
@@ -423,18 +367,16 @@
 asio::awaitable<void>
 Server::Pull(std::uint64_t aGeneration)
 {
+  HttpCaller caller(context_, primaryHost_, primaryPort_, config_.bind_);
   while (generation_ == aGeneration) {
     const LogPoint last = store_.Last();
     json::object request;
     request["term"] = store_.Promised();
     request["last_term"] = last.term_;
     request["last_position"] = last.position_;
-    std::string body = co_await CallOnce(context_,
-                                         primaryHost_,
-                                         primaryPort_,
-                                         "/v1/log",
-                                         json::serialize(request),
-                                         kPullTimeout);
+    const HttpAnswer answer =
+      co_await caller.Call("/v1/log", json::serialize(request), kPullTimeout);
+    const std::string body = answer.status_ == 200 ? answer.body_ : "";
     co_await Sleep(body.empty() ? kPullPause : config_.lag_);
     if (generation_ == aGeneration && !body.empty() && !TakeLog(body)) {
       co_await Sleep(kPullPause);
--- a/standin/Server.h
+++ b/standin/Server.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// One stand-in database server on HTTP: the upstream contract of docs/UPSTREAM.md
-// with slots, a connection limit, a connection cost and a replication lag.
+// One stand-in database server on HTTP: the upstream contract of
+// docs/UPSTREAM.md with slots, a connection limit, a connection cost and a
+// replication lag.
 
 #include "daemon/Http.h"
 #include "standin/Store.h"
@@ -17,11 +18,13 @@
 
 struct ServerConfig
 {
-  wire::Upstream info_;       // as it is announced
-  std::string dataFile_;      // empty: memory only
-  bool sync_ = true;          // sync the log before answering
-  Duration workTime_ = 1ms;   // time that a statement holds a slot
-  Duration lag_ = 5ms;        // before a replica applies what it fetched
+  wire::Upstream info_;         // as it is announced
+  std::string bind_;            // IP that it binds and connects from
+  std::string announceSecret_;  //
+  std::string dataFile_;        // empty: memory only
+  bool sync_ = true;            // sync the log before answering
+  Duration workTime_ = 1ms;     // time that a statement holds a slot
+  Duration lag_ = 5ms;          // before a replica applies what it fetched
   Duration connectTime_ = 10ms; // before a new connection is served
   std::vector<std::pair<std::string, std::uint16_t>> announceTo_;
 };
@@ -74,6 +77,7 @@
   Store store_;
   HttpServer http_;
   Role role_ = Role::Replica;
+  bool following_ = false;
   std::string primaryHost_;
   std::uint16_t primaryPort_ = 0;
   std::uint64_t generation_ = 0; // of the role; a pull of an older one ends
--- a/standin/Store.cpp
+++ b/standin/Store.cpp
@@ -192,9 +192,8 @@
 {
   const auto words = SplitStatement(aStatement);
   if (words.size() != 2 || words[0] != "get") {
-    return MakeError(
-      ErrorKind::BadInput,
-      "expected 'get KEY', 'put KEY VALUE' or 'add KEY VALUE'");
+    return MakeError(ErrorKind::BadInput,
+                     "expected 'get KEY', 'put KEY VALUE' or 'add KEY VALUE'");
   }
   const auto found = data_.find(words[1]);
   return found == data_.end() ? std::vector<std::string>{} : found->second;
--- a/standin/standin_main.cpp
+++ b/standin/standin_main.cpp
@@ -36,6 +36,10 @@
   add("database", "name", cxxopts::value<std::string>());
   add("zone", "name", cxxopts::value<std::string>());
   add("host", "IP", cxxopts::value<std::string>()->default_value("127.0.0.1"));
+  add("bind", "IP", cxxopts::value<std::string>()->default_value(""));
+  add("announce-secret",
+      "text",
+      cxxopts::value<std::string>()->default_value(""));
   add("port", "port, 0: any", cxxopts::value<std::uint16_t>());
   add("slots", "count", cxxopts::value<unsigned>()->default_value("3"));
   add("connections", "limit", cxxopts::value<unsigned>()->default_value("20"));
@@ -45,9 +49,12 @@
       cxxopts::value<std::vector<std::string>>()->default_value(""));
   add("data-file", "path", cxxopts::value<std::string>()->default_value(""));
   add("no-sync", "do not sync the log");
-  add("work-us", "statement time", cxxopts::value<int>()->default_value("1000"));
+  add(
+    "work-us", "statement time", cxxopts::value<int>()->default_value("1000"));
   add("lag-ms", "replication lag", cxxopts::value<int>()->default_value("5"));
-  add("connect-ms", "connection cost", cxxopts::value<int>()->default_value("10"));
+  add("connect-ms",
+      "connection cost",
+      cxxopts::value<int>()->default_value("10"));
   const auto read = options.parse(aCount, aArguments);
 
   standin::ServerConfig config;
@@ -59,12 +66,16 @@
   config.info_.set_slots(read["slots"].as<unsigned>());
   config.info_.set_connection_limit(read["connections"].as<unsigned>());
   config.info_.set_group_size(read["group-size"].as<unsigned>());
+  config.bind_ = read["bind"].as<std::string>();
+  if (config.bind_.empty()) {
+    config.bind_ = config.info_.host();
+  }
+  config.announceSecret_ = read["announce-secret"].as<std::string>();
   config.dataFile_ = read["data-file"].as<std::string>();
   config.sync_ = read.count("no-sync") == 0;
   config.workTime_ = std::chrono::microseconds(read["work-us"].as<int>());
   config.lag_ = std::chrono::milliseconds(read["lag-ms"].as<int>());
-  config.connectTime_ =
-    std::chrono::milliseconds(read["connect-ms"].as<int>());
+  config.connectTime_ = std::chrono::milliseconds(read["connect-ms"].as<int>());
   if (read.count("announce-to") > 0) {
     config.announceTo_ =
       ParseAddresses(read["announce-to"].as<std::vector<std::string>>());
--- a/traffic/GroupWatch.cpp
+++ b/traffic/GroupWatch.cpp
@@ -3,15 +3,15 @@
 #include "base/Erase.h"
 
 #include <algorithm>
-#include <utility>
 #include <functional>
+#include <utility>
 
 namespace jaydoor {
 namespace {
 
 constexpr std::size_t kMaxSamples = 512;
 constexpr Duration kSampleSpacing = 20ms; // two samples lie this far apart
-constexpr Duration kReportAgain = 200ms; // a standing suspicion is repeated
+constexpr Duration kReportAgain = 200ms;  // a standing suspicion is repeated
 
 } // namespace
 
@@ -37,6 +37,11 @@
   primary_ = group.primary_;
   term_ = group.term_;
   groupSize_ = group.groupSize_;
+  const auto primary = aView.servers_.find(primary_);
+  if (primary != aView.servers_.end()) {
+    primaryHost_ = primary->second.info_.host();
+    primaryPort_ = static_cast<std::uint16_t>(primary->second.info_.port());
+  }
   for (const auto& id : group.servers_) {
     const auto& info = aView.servers_.at(id).info_;
     const auto port = static_cast<std::uint16_t>(info.port());
@@ -103,9 +108,7 @@
 }
 
 bool
-GroupWatch::Answered(ConnectionId aId,
-                     const UpstreamAnswer& aAnswer,
-                     Time aNow)
+GroupWatch::Answered(ConnectionId aId, const UpstreamAnswer& aAnswer, Time aNow)
 {
   for (auto& [id, member] : members_) {
     if (member.probe_.Connection() == aId) {
@@ -126,9 +129,19 @@
   aMember.point_ = aAnswer.point_;
   aMember.promised_ = aAnswer.promised_;
   aMember.answered_ = true;
+  aMember.primary_ = aAnswer.primary_;
   if (aMember.promised_ <= term_) {
     aMember.confirmedAt_ = aSentAt;
   }
+  const bool astray = !aAnswer.following_ || aMember.promised_ < term_;
+  if (aServer != primary_ && !primary_.empty() && astray) {
+    UpstreamRequest follow;
+    follow.op_ = UpstreamOp::Follow;
+    follow.term_ = term_;
+    follow.primaryHost_ = primaryHost_;
+    follow.primaryPort_ = primaryPort_;
+    aMember.probe_.SetNext(std::move(follow));
+  }
   const bool primary =
     aServer == primary_ && aAnswer.primary_ && aMember.promised_ == term_;
   if (!primary) {
@@ -154,8 +167,7 @@
 {
   std::size_t holders = 0;
   for (const auto& [id, member] : members_) {
-    const bool holds = member.answered_ &&
-                       member.promised_ == aPoint.term_ &&
+    const bool holds = member.answered_ && member.promised_ == aPoint.term_ &&
                        member.point_.term_ == aPoint.term_ &&
                        member.point_.position_ >= aPoint.position_;
     holders += holds ? 1U : 0U;
@@ -223,10 +235,16 @@
 }
 
 bool
-GroupWatch::IsPrimaryCurrent() const
+GroupWatch::IsPrimarySuspect() const
 {
   const auto found = members_.find(primary_);
-  return found != members_.end() && found->second.promised_ <= term_;
+  if (found == members_.end()) {
+    return true;
+  }
+  const Member& member = found->second;
+  const bool resigned =
+    member.answered_ && (!member.primary_ || member.promised_ > term_);
+  return resigned || member.probe_.IsUnreachable();
 }
 
 std::optional<wire::Suspicion>
@@ -235,7 +253,7 @@
   if (primary_.empty()) {
     return std::nullopt;
   }
-  const bool suspected = IsUnreachable(primary_);
+  const bool suspected = IsPrimarySuspect();
   const bool due = suspected && aNow - reportedAt_ >= kReportAgain;
   if (suspected == reported_ && !due) {
     return std::nullopt;
--- a/traffic/GroupWatch.h
+++ b/traffic/GroupWatch.h
@@ -5,7 +5,10 @@
 // Three kinds of proof come out of the same status answers:
 //   1. Durability: a majority holds a log point in the primary's history.
 //   2. Freshness:  data read at a point is no older than a time.
-//   3. Suspicion:  the primary can't be reached on a fresh connection.
+//   3. Suspicion:  the primary can't be reached on a fresh connection, or says
+//                  itself that it is no longer the primary.
+//
+// A replica that does not follow the primary of the view is told to.
 //
 // All times are of this VM's own clock: a status answer proves something
 // about the moment that its question was sent, never about a later one.
@@ -53,9 +56,6 @@
   // report or is due again.
   std::optional<wire::Suspicion> TakeSuspicion(Time aNow);
 
-  // True while the current primary is the one of the view and has not been
-  // seen replaced.
-  bool IsPrimaryCurrent() const;
   const ServerId& Primary() const { return primary_; }
   std::uint64_t Term() const { return term_; }
 
@@ -68,10 +68,11 @@
     }
 
     StatusProbe probe_;
-    LogPoint point_;              // last durable entry
-    std::uint64_t promised_ = 0;  // highest term promised
-    Time confirmedAt_;            // sending of the last answer at our term
-    bool answered_ = false;
+    LogPoint point_;             // last durable entry
+    std::uint64_t promised_ = 0; // highest term promised
+    Time confirmedAt_;           // sending of the last answer at our term
+    bool answered_ = false;      // since the view's term began
+    bool primary_ = false;       // takes itself for the primary
   };
 
   struct Sample
@@ -87,10 +88,13 @@
                     Time aSentAt,
                     const UpstreamAnswer& aAnswer);
   std::optional<Time> PrimacyTime() const;
+  bool IsPrimarySuspect() const;
 
   DatabaseId database_;
   ProbeTiming timing_;
   ServerId primary_;
+  std::string primaryHost_;
+  std::uint16_t primaryPort_ = 0;
   std::uint64_t term_ = 0;
   std::uint64_t groupSize_ = 0;
   std::map<ServerId, Member> members_;
--- a/traffic/RankQueue.cpp
+++ b/traffic/RankQueue.cpp
@@ -6,7 +6,7 @@
 namespace jaydoor {
 namespace {
 
-constexpr int kSmoothing = 16; // weight of the past in the service time
+constexpr int kSmoothing = 16;   // weight of the past in the service time
 constexpr double kMaxCredit = 2; // turns that a floor can save up
 
 constexpr std::size_t
@@ -50,8 +50,8 @@
   for (std::size_t i = 0; i <= IndexOf(aRank); i++) {
     ahead += ranks_[i].size_;
   }
-  const double turn = static_cast<double>(service_.count()) /
-                      static_cast<double>(slots_);
+  const double turn =
+    static_cast<double>(service_.count()) / static_cast<double>(slots_);
   double wait = turn * static_cast<double>(ahead);
   const double floor = floors_[IndexOf(aRank)];
   if (floor > 0) {
--- a/traffic/RankQueue.h
+++ b/traffic/RankQueue.h
@@ -28,12 +28,12 @@
 
 struct QueuedItem
 {
-  std::uint64_t id_ = 0;    //
+  std::uint64_t id_ = 0; //
   Rank rank_ = Rank::Normal;
-  std::string customer_;    //
-  double weight_ = 1;       // the customer's share
-  Time deadline_;           // has to be answered by
-  Time queuedAt_;           //
+  std::string customer_; //
+  double weight_ = 1;    // the customer's share
+  Time deadline_;        // has to be answered by
+  Time queuedAt_;        //
 };
 
 struct RefusedItem
--- a/traffic/RetryBudget.h
+++ b/traffic/RetryBudget.h
@@ -26,8 +26,8 @@
   }
 
 private:
-  static constexpr double kEarned = 0.2;     // retries per first attempt
-  static constexpr double kMaxTokens = 100;  // retries saved up at most
+  static constexpr double kEarned = 0.2;    // retries per first attempt
+  static constexpr double kMaxTokens = 100; // retries saved up at most
 
   double tokens_ = kMaxTokens;
 };
--- a/traffic/StatementRouter.cpp
+++ b/traffic/StatementRouter.cpp
@@ -179,8 +179,8 @@
     span.name_ = "entry";
     span.start_ = flow.startedAt_;
     span.end_ = aNow;
-    span.detail_ = fmt::format(
-      "{} {}", ToText(aAnswer.outcome_), ToText(aAnswer.reason_));
+    span.detail_ =
+      fmt::format("{} {}", ToText(aAnswer.outcome_), ToText(aAnswer.reason_));
     actions_.push_back(std::move(span));
   }
   forwards_.erase(flow.forward_);
@@ -377,9 +377,9 @@
       continue;
     }
     const bool live = std::any_of(
-      view_->vms_.begin(), view_->vms_.end(), [&flow = flow](const VmView& aVm) {
-        return aVm.id_ == flow.owner_;
-      });
+      view_->vms_.begin(),
+      view_->vms_.end(),
+      [&flow = flow](const VmView& aVm) { return aVm.id_ == flow.owner_; });
     if (!live && flow.owner_ != self_) {
       orphaned.push_back(id);
     }
@@ -451,8 +451,8 @@
 {
   const LogPoint point{ aReply.point().term(), aReply.point().position() };
   const DatabaseId& database = aFlow.request_.database_;
-  const bool behind = IsPlainRead(aFlow.request_) &&
-                      point < aFlow.session_.PointOf(database);
+  const bool behind =
+    IsPlainRead(aFlow.request_) && point < aFlow.session_.PointOf(database);
   if (behind) {
     SettleRefusal(aId, aFlow, Reason::Behind, aNow);
     return;
--- a/traffic/StatementRouter.h
+++ b/traffic/StatementRouter.h
@@ -50,8 +50,8 @@
                   std::uint64_t aSeed);
 
   void SetView(FleetViewPtr aView, Time aNow);
-  // Refuses new statements; those in flight are finished.
-  void StartDraining() { draining_ = true; }
+  // While on, refuses new statements; those in flight are finished.
+  void SetDraining(bool aOn) { draining_ = aOn; }
 
   void Start(RequestId aId, CallerRequest aRequest, Time aNow);
   // The caller is gone: nobody waits for the answer.
@@ -83,10 +83,10 @@
     ServerId server_;       // of the current attempt
     VmId owner_;
     std::set<ServerId> tried_;
-    Time retryAt_;          // when a waiting flow is routed again
+    Time retryAt_; // when a waiting flow is routed again
     Reason waitsFor_ = Reason::NoPrimary;
     bool mayHaveRun_ = false; // an earlier attempt has no proof
-    std::string traceId_;   // 32 hex digits, empty: not traced
+    std::string traceId_;     // 32 hex digits, empty: not traced
     std::string spanId_;
     std::string parentId_;
   };
--- a/traffic/StatusProbe.cpp
+++ b/traffic/StatusProbe.cpp
@@ -1,5 +1,7 @@
 #include "traffic/StatusProbe.h"
 
+#include <utility>
+
 namespace jaydoor {
 
 StatusProbe::StatusProbe(std::string aHost,
@@ -55,7 +57,8 @@
 {
   state_ = State::Waiting;
   since_ = aNow;
-  aOut.push_back(SendUpstream{ connection_, UpstreamRequest{} });
+  aOut.push_back(
+    SendUpstream{ connection_, std::exchange(next_, UpstreamRequest{}) });
 }
 
 void
--- a/traffic/StatusProbe.h
+++ b/traffic/StatusProbe.h
@@ -12,8 +12,8 @@
 
 struct ProbeTiming
 {
-  Duration interval_ = 100ms;   // between questions when nobody waits
-  Duration repeat_ = 1ms;       // between questions when somebody waits
+  Duration interval_ = 100ms;    // between questions when nobody waits
+  Duration repeat_ = 1ms;        // between questions when somebody waits
   Duration silentAfter_ = 300ms; // no answer: the connection is silent
   Duration connectTimeout_ = 300ms;
   Duration reopenPause_ = 100ms; // after a failed connection
@@ -24,6 +24,9 @@
 public:
   StatusProbe(std::string aHost, std::uint16_t aPort, ProbeTiming aTiming);
 
+  // The next question is this one instead of a plain status.
+  void SetNext(UpstreamRequest aRequest) { next_ = std::move(aRequest); }
+
   // Sends what is due. `aWanted`: somebody waits for the answer.
   void Tick(Time aNow, bool aWanted, IdSource& aIds, TrafficActions& aOut);
 
@@ -56,6 +59,7 @@
   std::string host_;
   std::uint16_t port_;
   ProbeTiming timing_;
+  UpstreamRequest next_; // a status, or what SetNext gave
   State state_ = State::Closed;
   ConnectionId connection_ = 0; // 0: none
   Time since_;                  // when the state was entered
--- a/traffic/TrafficNode.cpp
+++ b/traffic/TrafficNode.cpp
@@ -41,8 +41,7 @@
   std::vector<DatabaseId> watched;
   for (const auto& [id, server] : view_->servers_) {
     const bool owned =
-      !draining_ &&
-      ChooseOwner(server.info_, view_->vms_) == config_.self_;
+      !draining_ && ChooseOwner(server.info_, view_->vms_) == config_.self_;
     if (owned) {
       owners_.try_emplace(id, server.info_, config_.self_, config_.owner_);
       watched.push_back(server.info_.database());
@@ -165,10 +164,10 @@
 }
 
 void
-TrafficNode::Handle(TakeDrain&, Time aNow, TrafficActions& aOut)
+TrafficNode::Handle(TakeDrain& aEvent, Time aNow, TrafficActions& aOut)
 {
-  draining_ = true;
-  router_.StartDraining();
+  draining_ = aEvent.on_;
+  router_.SetDraining(draining_);
   TakeView again{ view_ };
   Handle(again, aNow, aOut);
 }
@@ -202,10 +201,10 @@
     // Not known as an owner here: an owner without the server says so.
     wire::Upstream unknown;
     unknown.set_server(aForward.server());
-    found = owners_
-              .try_emplace(
-                aForward.server(), unknown, config_.self_, config_.owner_)
-              .first;
+    found =
+      owners_
+        .try_emplace(aForward.server(), unknown, config_.self_, config_.owner_)
+        .first;
     statement.statement_.set_rank(0);
   }
   static const GroupWatch kNoWatch("", ProbeTiming{});
@@ -334,8 +333,7 @@
   if (!done || found == view_->servers_.end()) {
     return;
   }
-  const auto group =
-    view_->databases_.find(found->second.info_.database());
+  const auto group = view_->databases_.find(found->second.info_.database());
   const bool primary =
     group != view_->databases_.end() && group->second.primary_ == aServer;
   (primary ? counters_.primaryReads_ : counters_.replicaReads_)++;
@@ -366,8 +364,7 @@
   aOut.push_back(owner);
   if (upstream > Duration::zero()) {
     EmitSpan call;
-    call.trace_ =
-      fmt::format("00-{}-{:016x}-01", traceId, random_());
+    call.trace_ = fmt::format("00-{}-{:016x}-01", traceId, random_());
     call.parent_ = ownerSpan;
     call.name_ = "upstream";
     call.start_ = aNow - upstream;
--- a/traffic/TrafficNode.h
+++ b/traffic/TrafficNode.h
@@ -68,13 +68,14 @@
   UpstreamAnswer answer_;
 };
 
+// On: refuses new statements, owns nothing new, finishes what it has.
 struct TakeDrain
 {
+  bool on_ = true;
 };
 
 struct TakeTick
-{
-};
+{};
 
 using TrafficEvent = std::variant<TakeView,
                                   TakeCaller,
@@ -105,7 +106,7 @@
   std::uint64_t statements_ = 0;
   std::uint64_t replicaReads_ = 0; // answered by a replica
   std::uint64_t primaryReads_ = 0;
-  std::uint64_t forwardsOut_ = 0;  // to other VMs
+  std::uint64_t forwardsOut_ = 0; // to other VMs
   std::uint64_t forwardsIn_ = 0;
   std::uint64_t upstreamCalls_ = 0;
   std::uint64_t statusCalls_ = 0;
@@ -150,7 +151,9 @@
   void SendReply(OwnerReply& aReply, Time aNow, TrafficActions& aOut);
   void CountRead(const ServerId& aServer, const wire::ForwardReply& aReply);
   bool WantsProof(const DatabaseId& aDatabase) const;
-  void EmitOwnerSpans(const OwnerReply& aReply, Time aNow, TrafficActions& aOut);
+  void EmitOwnerSpans(const OwnerReply& aReply,
+                      Time aNow,
+                      TrafficActions& aOut);
 
   TrafficConfig config_;
   IdSource ids_;
--- a/traffic/UpstreamOwner.cpp
+++ b/traffic/UpstreamOwner.cpp
@@ -8,10 +8,10 @@
 namespace jaydoor {
 namespace {
 
-constexpr Duration kOpenPause = 50ms;      // after a failed connection
-constexpr Duration kReplyMargin = 5ms;     // for the way back to the caller
-constexpr Duration kKeepIdle = 30s;        // idle connections above the slots
-constexpr int kMaxAttempts = 3;            // sends of one statement by an owner
+constexpr Duration kOpenPause = 50ms;  // after a failed connection
+constexpr Duration kReplyMargin = 5ms; // for the way back to the caller
+constexpr Duration kKeepIdle = 30s;    // idle connections above the slots
+constexpr int kMaxAttempts = 3;        // sends of one statement by an owner
 constexpr std::size_t kMaxTransactions = 1024;
 
 TransactionStep
@@ -77,6 +77,7 @@
   term_ = known ? group->second.term_ : 0;
   rules_ = aView.rules_;
   queue_.SetPolicy(info_.slots(), rules_.floors_);
+  viewChanged_ = true;
 }
 
 bool
@@ -85,11 +86,9 @@
   return StepOf(aStatement) > TransactionStep::Begin;
 }
 
-// Why the statement can't run here, if that is known before it is sent.
+// Why the statement has to be routed elsewhere, by the view in force.
 std::optional<Reason>
-UpstreamOwner::FindRefusal(const OwnedStatement& aStatement,
-                           const GroupWatch& aWatch,
-                           Time aNow) const
+UpstreamOwner::FindRoutingRefusal(const OwnedStatement& aStatement) const
 {
   if (!owned_) {
     return Reason::NotOwner;
@@ -106,6 +105,19 @@
   if (aStatement.term_ > term_) {
     return Reason::NotOwner; // this VM's view is behind the sender's
   }
+  return std::nullopt;
+}
+
+// Why the statement can't run here, if that is known before it is sent.
+std::optional<Reason>
+UpstreamOwner::FindRefusal(const OwnedStatement& aStatement,
+                           const GroupWatch& aWatch,
+                           Time aNow) const
+{
+  const auto routing = FindRoutingRefusal(aStatement);
+  if (routing) {
+    return routing;
+  }
   if (IsRead(aStatement) && !primary_) {
     const auto fresh =
       aWatch.FreshAsOf(info_.server(), aWatch.PointOf(info_.server()));
@@ -496,17 +508,28 @@
               refused.reason_,
               aNow);
   }
-  if (owned_ && !info_.leaving()) {
-    return;
+  if (viewChanged_) {
+    viewChanged_ = false;
+    BounceQueued(aNow);
   }
-  // What is still queued has not run and goes back to be routed again.
-  while (auto item = queue_.Pop(aNow)) {
-    const auto found = statements_.find(item->id_);
-    const bool sent = found != statements_.end() && found->second.attempts_ > 0;
-    ReplyById(item->id_,
-              sent ? Outcome::Unknown : Outcome::NotRun,
-              owned_ ? Reason::Leaving : Reason::NotOwner,
-              aNow);
+}
+
+// After a change of owner, primary or rules: what is queued and can't run
+// here any more has not run, and goes back to be routed again.
+void
+UpstreamOwner::BounceQueued(Time aNow)
+{
+  std::vector<std::pair<std::uint64_t, Reason>> bounced;
+  for (const auto& [id, statement] : statements_) {
+    const auto refusal = FindRoutingRefusal(statement);
+    if (refusal && queue_.Remove(id)) {
+      bounced.emplace_back(id, *refusal);
+    }
+  }
+  for (const auto& [id, reason] : bounced) {
+    const OwnedStatement& statement = statements_.at(id);
+    const bool proven = statement.attempts_ == 0 || IsRead(statement);
+    ReplyById(id, proven ? Outcome::NotRun : Outcome::Unknown, reason, aNow);
   }
 }
 
@@ -560,10 +583,10 @@
     aOut.push_back(CloseConnection{ id });
     Lost(id, aNow);
   }
-  aOut.push_back(WriteNote{
-    Event::ConnectionSilent,
-    fmt::format(
-      "upstream={} dropped_with_it={}", info_.server(), mates.size()) });
+  aOut.push_back(WriteNote{ Event::ConnectionSilent,
+                            fmt::format("upstream={} dropped_with_it={}",
+                                        info_.server(),
+                                        mates.size()) });
 }
 
 void
@@ -602,8 +625,8 @@
     }
     const auto fresh = aWatch.FreshAsOf(info_.server(), point);
     const Time wanted = statement.arrivedAt_ - statement.maxAge_;
-    const Time until = primary_ ? statement.deadline_
-                                : statement.ranUntil_ + timing_.freshWait_;
+    const Time until =
+      primary_ ? statement.deadline_ : statement.ranUntil_ + timing_.freshWait_;
     if (point < statement.minPoint_) {
       ReplyById(id, Outcome::Failed, Reason::Behind, aNow);
     } else if (fresh && *fresh >= wanted) {
@@ -736,9 +759,8 @@
   if (!owned_) {
     return;
   }
-  const std::size_t wanted =
-    std::max<std::size_t>(1, std::min<std::size_t>(queue_.Size() + running_,
-                                                   info_.slots()));
+  const std::size_t wanted = std::max<std::size_t>(
+    1, std::min<std::size_t>(queue_.Size() + running_, info_.slots()));
   while (usable < wanted && connections_.size() < ConnectionLimit() &&
          aNow >= openNotBefore_) {
     const ConnectionId id = aIds.Next();
--- a/traffic/UpstreamOwner.h
+++ b/traffic/UpstreamOwner.h
@@ -35,17 +35,17 @@
 {
   ReplyAddress replyTo_;
   wire::Statement statement_;
-  std::uint64_t term_ = 0;    // term of the view that routed it
-  LogPoint minPoint_;         //
-  Duration maxAge_{};         // reads
-  Time arrivedAt_;            //
-  Time sentAt_;               // to the upstream
-  Time ranUntil_;             // when the upstream answered
-  Time deadline_;             //
-  std::string trace_;         // traceparent of the sender's span
-  UpstreamAnswer answer_;     // once the upstream has answered
+  std::uint64_t term_ = 0;          // term of the view that routed it
+  LogPoint minPoint_;               //
+  Duration maxAge_{};               // reads
+  Time arrivedAt_;                  //
+  Time sentAt_;                     // to the upstream
+  Time ranUntil_;                   // when the upstream answered
+  Time deadline_;                   //
+  std::string trace_;               // traceparent of the sender's span
+  UpstreamAnswer answer_;           // once the upstream has answered
   std::uint64_t transactionId_ = 0; // 0: none
-  int attempts_ = 0;          // times sent to the upstream
+  int attempts_ = 0;                // times sent to the upstream
 };
 
 struct OwnerReply
@@ -57,11 +57,11 @@
 struct OwnerTiming
 {
   Duration connectTimeout_ = 500ms;
-  Duration silentAfter_ = 400ms;  // unanswered: the connection may be silent
-  Duration provenFor_ = 1s;       // idle longer: asked for a sign of life first
+  Duration silentAfter_ = 400ms; // unanswered: the connection may be silent
+  Duration provenFor_ = 1s;      // idle longer: asked for a sign of life first
   Duration transactionIdle_ = 10s; // then it is rolled back
-  Duration freshWait_ = 25ms;     // a replica's proof of age may take this long
-  double connectionShare_ = 0.4;  // of the server's connection limit
+  Duration freshWait_ = 25ms;    // a replica's proof of age may take this long
+  double connectionShare_ = 0.4; // of the server's connection limit
 };
 
 // ---- 2. The owner
@@ -128,11 +128,13 @@
   {
     ConnectionId connection_ = 0;
     Time usedAt_;
-    bool busy_ = false;    // a statement of it is queued or running
+    bool busy_ = false; // a statement of it is queued or running
     LogPoint lastPoint_;
   };
 
   bool IsTransactionStep(const OwnedStatement& aStatement) const;
+  std::optional<Reason> FindRoutingRefusal(
+    const OwnedStatement& aStatement) const;
   std::optional<Reason> FindRefusal(const OwnedStatement& aStatement,
                                     const GroupWatch& aWatch,
                                     Time aNow) const;
@@ -141,8 +143,12 @@
              Outcome aOutcome,
              Reason aReason,
              Time aNow);
-  void ReplyById(std::uint64_t aId, Outcome aOutcome, Reason aReason, Time aNow);
+  void ReplyById(std::uint64_t aId,
+                 Outcome aOutcome,
+                 Reason aReason,
+                 Time aNow);
   void DropRefused(Time aNow);
+  void BounceQueued(Time aNow);
   void CheckRunning(Time aNow, TrafficActions& aOut);
   void DropAgeMates(Time aOpenedUntil, Time aNow, TrafficActions& aOut);
   void CheckProofs(Time aNow, const GroupWatch& aWatch);
@@ -170,6 +176,7 @@
   Rules rules_;
   bool owned_ = false;
   bool primary_ = false;
+  bool viewChanged_ = false; // the queue has to be looked through
   std::uint64_t term_ = 0;
 
   RankQueue queue_;
--- a/wire/Json.cpp
+++ b/wire/Json.cpp
@@ -359,8 +359,8 @@
   }
   if (aOp == UpstreamOp::Follow) {
     request.primaryHost_ = reader.Text("primary_host", kMaxNameBytes);
-    request.primaryPort_ = static_cast<std::uint16_t>(
-      reader.Number("primary_port", 1, kMaxPort, 1));
+    request.primaryPort_ =
+      static_cast<std::uint16_t>(reader.Number("primary_port", 1, kMaxPort, 1));
   }
   return reader.Finish(std::move(request));
 }
@@ -381,6 +381,7 @@
   object["position"] = aAnswer.point_.position_;
   object["promised"] = aAnswer.promised_;
   object["primary"] = aAnswer.primary_;
+  object["following"] = aAnswer.following_;
   return json::serialize(object);
 }
 
@@ -392,8 +393,7 @@
   answer.result_ =
     static_cast<UpstreamResult>(reader.Choice("result", kResults));
   const std::string reason = reader.Text("reason", kMaxNameBytes);
-  answer.reason_ =
-    ParseReason(reason).value_or(Reason::DatabaseError);
+  answer.reason_ = ParseReason(reason).value_or(Reason::DatabaseError);
   if (reason.empty()) {
     answer.reason_ = Reason::None;
   }
@@ -402,6 +402,7 @@
   answer.point_ = reader.Point("term", "position");
   answer.promised_ = reader.Count("promised");
   answer.primary_ = reader.Flag("primary");
+  answer.following_ = reader.Flag("following");
   return reader.Finish(std::move(answer));
 }
 
--- a/wire/Json.h
+++ b/wire/Json.h
@@ -39,18 +39,18 @@
 
 struct CallerRequest
 {
-  DatabaseId database_;           //
-  std::string statement_;         // passed to the upstream as it is
-  std::string work_;              // label that rules match
-  std::string customer_;          // whose work it is, for fairness
-  std::string session_;           // token of the last answer, or empty
-  std::string transaction_;       // handle, from step Inside on
-  std::string trace_;             // W3C traceparent, or empty
-  std::optional<Rank> rank_;      // the caller's wish; a rule goes before it
+  DatabaseId database_;      //
+  std::string statement_;    // passed to the upstream as it is
+  std::string work_;         // label that rules match
+  std::string customer_;     // whose work it is, for fairness
+  std::string session_;      // token of the last answer, or empty
+  std::string transaction_;  // handle, from step Inside on
+  std::string trace_;        // W3C traceparent, or empty
+  std::optional<Rank> rank_; // the caller's wish; a rule goes before it
   Duration deadline_{ kDefaultDeadline }; // from arrival
   TransactionStep step_{ TransactionStep::None };
-  bool read_ = false;             // the caller promises that it writes nothing
-  bool repeatable_ = false;       // may run more than once
+  bool read_ = false;       // the caller promises that it writes nothing
+  bool repeatable_ = false; // may run more than once
 };
 
 struct CallerAnswer
@@ -65,10 +65,14 @@
   LogPoint point_;          // where it was read or written
 };
 
-Expected<CallerRequest> ParseCallerRequest(std::string_view aBody);
-std::string WriteCallerAnswer(const CallerAnswer& aAnswer);
-std::string WriteCallerRequest(const CallerRequest& aRequest);
-Expected<CallerAnswer> ParseCallerAnswer(std::string_view aBody);
+Expected<CallerRequest>
+ParseCallerRequest(std::string_view aBody);
+std::string
+WriteCallerAnswer(const CallerAnswer& aAnswer);
+std::string
+WriteCallerRequest(const CallerRequest& aRequest);
+Expected<CallerAnswer>
+ParseCallerAnswer(std::string_view aBody);
 
 // ---- 2. Upstreams
 
@@ -85,9 +89,9 @@
 {
   UpstreamOp op_ = UpstreamOp::Status;
   std::uint64_t term_ = 0;
-  std::string statement_;   // Execute
-  LogPoint minPoint_;       // Execute: refused as behind below it
-  Duration remaining_{};    // Execute: refused once it has passed
+  std::string statement_; // Execute
+  LogPoint minPoint_;     // Execute: refused as behind below it
+  Duration remaining_{};  // Execute: refused once it has passed
   TransactionStep step_ = TransactionStep::None;
   bool read_ = false;
   std::string primaryHost_; // Follow
@@ -107,23 +111,32 @@
   Reason reason_ = Reason::None;
   std::string detail_;
   std::vector<std::string> rows_;
-  LogPoint point_;         // Execute: where; Status, Seal: last durable entry
+  LogPoint point_; // Execute: where; Status, Seal: last durable entry
   std::uint64_t promised_ = 0; // highest term promised
   bool primary_ = false;   // Status: the server takes itself for the primary
+  bool following_ = false; // Status: it replicates from a primary
 };
 
-std::string_view PathOf(UpstreamOp aOp);
-std::optional<UpstreamOp> ParsePath(std::string_view aPath);
-std::string WriteUpstreamRequest(const UpstreamRequest& aRequest);
-Expected<UpstreamRequest> ParseUpstreamRequest(UpstreamOp aOp,
-                                               std::string_view aBody);
-std::string WriteUpstreamAnswer(const UpstreamAnswer& aAnswer);
-Expected<UpstreamAnswer> ParseUpstreamAnswer(std::string_view aBody);
-
-std::string WriteAnnounce(const wire::Upstream& aUpstream);
-Expected<wire::Upstream> ParseAnnounce(std::string_view aBody);
+std::string_view
+PathOf(UpstreamOp aOp);
+std::optional<UpstreamOp>
+ParsePath(std::string_view aPath);
+std::string
+WriteUpstreamRequest(const UpstreamRequest& aRequest);
+Expected<UpstreamRequest>
+ParseUpstreamRequest(UpstreamOp aOp, std::string_view aBody);
+std::string
+WriteUpstreamAnswer(const UpstreamAnswer& aAnswer);
+Expected<UpstreamAnswer>
+ParseUpstreamAnswer(std::string_view aBody);
+
+std::string
+WriteAnnounce(const wire::Upstream& aUpstream);
+Expected<wire::Upstream>
+ParseAnnounce(std::string_view aBody);
 
 // True if the name is 1 to 64 letters, digits, '_', '-' or '.'.
-bool IsName(std::string_view aText);
+bool
+IsName(std::string_view aText);
 
 } // namespace jaydoor
