--- a/base/Time.h
+++ b/base/Time.h
@@ -17,7 +17,7 @@
   using duration = std::chrono::microseconds;
   using rep = duration::rep;
   using period = duration::period;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true; // NOLINT: the standard's name
 };
 
 using Duration = std::chrono::microseconds;
--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -594,7 +594,7 @@
   wire::ControlMessage pull;
   pull.mutable_delta_request()->set_applied(state_.Index());
   for (const auto& vm : membership_.ChooseRandom(1)) {
-    Send(vm, std::move(pull), aOut);
+    Send(vm, pull, aOut);
   }
 }
 
--- a/control/Rules.h
+++ b/control/Rules.h
@@ -98,7 +98,7 @@
 
 // ---- 3. Reading the text
 
-inline constexpr std::size_t kMaxRulesBytes = 256 * 1024;
+inline constexpr std::size_t kMaxRulesBytes = 256UL * 1024;
 
 // Reads the whole text. The error names line, column, what was expected and
 // the remedy.
--- a/daemon/Http.h
+++ b/daemon/Http.h
@@ -28,8 +28,8 @@
 
 struct HttpLimits
 {
-  std::uint32_t headerBytes_ = 8 * 1024;
-  std::uint64_t bodyBytes_ = 512 * 1024;
+  std::uint32_t headerBytes_ = 8U * 1024;
+  std::uint64_t bodyBytes_ = 512UL * 1024;
   Duration headTimeout_ = 10s;  // from the first byte to the whole request
   Duration idleTimeout_ = 300s; // between requests
   std::size_t connections_ = 20'000;
--- a/daemon/TrafficShell.cpp
+++ b/daemon/TrafficShell.cpp
@@ -187,7 +187,7 @@
       connections_.erase(id);
       Step(TakeLost{ id });
     };
-    events.answered_ = [this, id](unsigned aStatus, std::string aBody) {
+    events.answered_ = [this, id](unsigned aStatus, const std::string& aBody) {
       TakeUpstream(id, aStatus, aBody);
     };
     const auto client =
--- a/standin/Fleet.cpp
+++ b/standin/Fleet.cpp
@@ -33,6 +33,7 @@
 Spawn(const std::vector<std::string>& aArguments, const std::string& aLog)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aArguments.size() + 1);
   for (const auto& argument : aArguments) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
--- a/standin/Network.cpp
+++ b/standin/Network.cpp
@@ -19,7 +19,7 @@
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 
-constexpr std::size_t kChunk = 16 * 1024;
+constexpr std::size_t kChunk = 16UL * 1024;
 
 struct Route
 {
@@ -88,7 +88,7 @@
     });
   }
 
-  void Accept(const std::shared_ptr<Tcp::acceptor>& aAcceptor, Route aRoute)
+  void Accept(const std::shared_ptr<Tcp::acceptor>& aAcceptor, const Route& aRoute)
   {
     aAcceptor->async_accept(
       [this, aAcceptor, aRoute](boost::system::error_code aError,
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- a/wire/Json.cpp
+++ b/wire/Json.cpp
@@ -11,7 +11,7 @@
 
 namespace json = boost::json;
 
-constexpr std::size_t kMaxTokenBytes = 8 * 1024;
+constexpr std::size_t kMaxTokenBytes = 8UL * 1024;
 constexpr std::size_t kMaxRows = 10000;
 constexpr std::size_t kMaxDepth = 8;
 constexpr std::int64_t kMaxPort = 65535;
@@ -41,9 +41,7 @@
     json::parse_options options;
     options.max_depth = kMaxDepth;
     value_ = json::parse(aBody, error, {}, options);
-    if (error) {
-      Fail("body", "a JSON object");
-    } else if (!value_.is_object()) {
+    if (error || !value_.is_object()) {
       Fail("body", "a JSON object");
     }
   }
--- a/wire/Json.h
+++ b/wire/Json.h
@@ -23,7 +23,7 @@
 
 // ---- 1. Callers
 
-inline constexpr std::size_t kMaxStatementBytes = 64 * 1024;
+inline constexpr std::size_t kMaxStatementBytes = 64UL * 1024;
 inline constexpr std::size_t kMaxNameBytes = 64;
 inline constexpr Duration kMaxDeadline = 60s;
 inline constexpr Duration kDefaultDeadline = 2s;
