Random histories against the naive version; faults found and mended

Differential test: random loads under kills, freezes, cuts, silence, resets and lost disks on the decision code, checked against one list per key.

A read could go back. Ruled out: a replica behind the token (the answer's point is checked twice). Change: a read at the primary waits until its point is on a majority; the answer itself counts for the primary. 2. Cause: ids of forwards began at 1 in each run of a process, so that a refusal meant for the former run fitted a new statement, which was then routed again. Transaction handles had the same fault. Change: rows of ids begin at random. 3. Voter's disk: damage before the end of the log was taken for a torn end, which forgets acknowledged entries under the old id. Now it is a lost disk. 4. Floors of 10% got 9 of 100 turns, by rounding.

--- a/ctl/jaydoorctl_main.cpp
+++ b/ctl/jaydoorctl_main.cpp
@@ -53,7 +53,8 @@
   "  rules show            the rules in force\n"
   "  rules history         the kept versions\n"
   "  rules diff FILE       how FILE differs from the rules in force\n"
-  "  rules apply FILE      put FILE in force, if nobody else changed the rules\n"
+  "  rules apply FILE      put FILE in force, if nobody else changed the "
+  "rules\n"
   "  status                VMs, upstreams, primaries, versions\n"
   "  drain | resume        this VM takes no new work | takes it again\n"
   "  keys                  a new key pair for --link-key-file\n";
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -209,7 +209,8 @@
       calls_.at(call)->Post(PathOf(op), body);
     };
     events.lost_ = [this, call] { EndCall(call, std::nullopt); };
-    events.answered_ = [this, call](unsigned aStatus, const std::string& aBody) {
+    events.answered_ = [this, call](unsigned aStatus,
+                                    const std::string& aBody) {
       auto answer = ParseUpstreamAnswer(aBody);
       const bool good = aStatus == 200 && answer.has_value();
       EndCall(call, good ? std::optional(std::move(*answer)) : std::nullopt);
--- a/daemon/VoterDisk.cpp
+++ b/daemon/VoterDisk.cpp
@@ -21,7 +21,7 @@
 enum class RecordKind : std::uint8_t
 {
   HardState = 1,
-  Entries = 2, // a sequence of changes, as one ControlSnapshot-free Delta
+  Entries = 2, // a sequence of changes, as a Delta without snapshot
   Snapshot = 3,
 };
 
@@ -33,8 +33,6 @@
   std::uint32_t kind_ = 0;
 };
 
-constexpr std::uint32_t kMaxRecord = 256U * 1024 * 1024;
-
 std::uint64_t
 CheckOf(std::string_view aPayload, std::uint32_t aKind)
 {
@@ -81,6 +79,67 @@
   }
 }
 
+struct Record
+{
+  std::uint32_t kind_ = 0;
+  std::string_view payload_;
+};
+
+// The record that stands at the front of the bytes, if it is whole.
+std::optional<Record>
+FindRecord(std::string_view aBytes)
+{
+  RecordHead head;
+  if (aBytes.size() < sizeof(head)) {
+    return std::nullopt;
+  }
+  std::memcpy(&head, aBytes.data(), sizeof(head));
+  const bool whole = head.kind_ >= 1 && head.kind_ <= 3 &&
+                     aBytes.size() - sizeof(head) >= head.size_;
+  if (!whole) {
+    return std::nullopt;
+  }
+  const std::string_view payload = aBytes.substr(sizeof(head), head.size_);
+  if (CheckOf(payload, head.kind_) != head.check_) {
+    return std::nullopt;
+  }
+  return Record{ head.kind_, payload };
+}
+
+// True if a whole record stands anywhere in the bytes. A torn end holds none:
+// what stands behind a damaged record was synced and acknowledged.
+bool
+HoldsRecord(std::string_view aBytes)
+{
+  for (; !aBytes.empty(); aBytes.remove_prefix(1)) {
+    if (FindRecord(aBytes)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+LoadRecord(const Record& aRecord, RaftDisk& aDisk)
+{
+  const int size = static_cast<int>(aRecord.payload_.size());
+  const char* data = aRecord.payload_.data();
+  switch (static_cast<RecordKind>(aRecord.kind_)) {
+    case RecordKind::HardState:
+      return aDisk.hard_.ParseFromArray(data, size);
+    case RecordKind::Entries: {
+      wire::Delta delta;
+      const bool read = delta.ParseFromArray(data, size);
+      LoadEntries(delta, aDisk);
+      return read;
+    }
+    case RecordKind::Snapshot:
+      aDisk.entries_.clear();
+      return aDisk.snapshot_.ParseFromArray(data, size);
+  }
+  return false;
+}
+
 tl::unexpected<Error>
 DiskError(const std::string& aPath, std::string_view aWhat)
 {
@@ -148,6 +207,31 @@
   return wrote;
 }
 
+// Reads the log; one that is damaged before its end is a lost disk.
+Expected<std::string>
+VoterDisk::ReadLog(RaftDisk& aDisk)
+{
+  const std::string path = folder_ + "/log";
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  std::string bytes = text.str();
+  Load(bytes, aDisk);
+  if (!HoldsRecord(std::string_view(bytes).substr(bytes.size() - torn_))) {
+    return bytes;
+  }
+  std::error_code error;
+  fs::remove(path, error);
+  fs::remove(folder_ + "/disk-id", error);
+  aDisk = RaftDisk{};
+  torn_ = 0;
+  const auto id = ReadId();
+  if (!id) {
+    return tl::unexpected(id.error());
+  }
+  return std::string();
+}
+
 Expected<RaftDisk>
 VoterDisk::Open(const std::string& aFolder)
 {
@@ -163,18 +247,14 @@
   if (!id) {
     return tl::unexpected(id.error());
   }
-  std::string bytes;
-  {
-    std::ifstream in(path, std::ios::binary);
-    std::ostringstream text;
-    text << in.rdbuf();
-    bytes = text.str();
-  }
   RaftDisk disk;
-  Load(bytes, disk);
+  const auto bytes = ReadLog(disk);
+  if (!bytes) {
+    return tl::unexpected(bytes.error());
+  }
   hard_ = disk.hard_;
   file_ = open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
-  const auto good = static_cast<off_t>(bytes.size() - torn_);
+  const auto good = static_cast<off_t>(bytes->size() - torn_);
   if (file_ < 0 || ftruncate(file_, good) != 0 || fdatasync(file_) != 0) {
     return DiskError(path, "open");
   }
@@ -186,40 +266,13 @@
 void
 VoterDisk::Load(std::string_view aBytes, RaftDisk& aDisk)
 {
-  while (!aBytes.empty()) {
-    torn_ = aBytes.size();
-    RecordHead head;
-    if (aBytes.size() < sizeof(head)) {
-      return;
-    }
-    std::memcpy(&head, aBytes.data(), sizeof(head));
-    const bool whole =
-      head.size_ <= kMaxRecord && aBytes.size() - sizeof(head) >= head.size_;
-    if (!whole) {
-      return;
-    }
-    const std::string_view payload = aBytes.substr(sizeof(head), head.size_);
-    if (CheckOf(payload, head.kind_) != head.check_) {
-      return;
-    }
-    const int size = static_cast<int>(payload.size());
-    bool read = false;
-    if (head.kind_ == static_cast<std::uint32_t>(RecordKind::HardState)) {
-      read = aDisk.hard_.ParseFromArray(payload.data(), size);
-    } else if (head.kind_ == static_cast<std::uint32_t>(RecordKind::Entries)) {
-      wire::Delta delta;
-      read = delta.ParseFromArray(payload.data(), size);
-      LoadEntries(delta, aDisk);
-    } else if (head.kind_ == static_cast<std::uint32_t>(RecordKind::Snapshot)) {
-      read = aDisk.snapshot_.ParseFromArray(payload.data(), size);
-      aDisk.entries_.clear();
-    }
-    if (!read) {
-      return;
+  while (const auto record = FindRecord(aBytes)) {
+    if (!LoadRecord(*record, aDisk)) {
+      break;
     }
-    aBytes.remove_prefix(sizeof(head) + head.size_);
-    torn_ = 0;
+    aBytes.remove_prefix(sizeof(RecordHead) + record->payload_.size());
   }
+  torn_ = aBytes.size();
 }
 
 void
--- a/daemon/VoterDisk.h
+++ b/daemon/VoterDisk.h
@@ -4,7 +4,8 @@
 //
 // One file of checked records, appended and synced; a snapshot rewrites it.
 // A torn record at the end was never acknowledged and is cut off. The folder
-// also holds the id of the disk: a folder that was lost gets another id.
+// also holds the id of the disk: a folder that was lost, or whose log is
+// damaged before its end, starts blank and gets another id.
 
 #include "base/Error.h"
 #include "control/Raft.h"
@@ -37,6 +38,7 @@
 private:
   Expected<bool> ReadId();
   void Load(std::string_view aBytes, RaftDisk& aDisk);
+  Expected<std::string> ReadLog(RaftDisk& aDisk);
   Expected<bool> WriteAll(int aFile, std::string_view aBytes);
 
   std::string folder_;
--- a/standin/Network.cpp
+++ b/standin/Network.cpp
@@ -88,7 +88,8 @@
     });
   }
 
-  void Accept(const std::shared_ptr<Tcp::acceptor>& aAcceptor, const Route& aRoute)
+  void Accept(const std::shared_ptr<Tcp::acceptor>& aAcceptor,
+              const Route& aRoute)
   {
     aAcceptor->async_accept(
       [this, aAcceptor, aRoute](boost::system::error_code aError,
--- a/tests/Scenario.h
+++ b/tests/Scenario.h
@@ -36,13 +36,20 @@
 concept StageLike = requires(T aStage,
                              std::string aName,
                              CallerRequest aRequest,
-                             wire::RuleChange aChange) {
+                             wire::RuleChange aChange)
+{
   aStage.Run(Duration{});
-  { aStage.Execute(aName, aRequest) } -> std::same_as<CallerAnswer>;
+  {
+    aStage.Execute(aName, aRequest)
+    } -> std::same_as<CallerAnswer>;
   aStage.ChangeRules(aName, aChange);
   aStage.Fault(aName, aName, aName);
-  { aStage.FindPrimary(aName) } -> std::convertible_to<std::string>;
-  { aStage.Servers() } -> std::convertible_to<std::vector<std::string>>;
+  {
+    aStage.FindPrimary(aName)
+    } -> std::convertible_to<std::string>;
+  {
+    aStage.Servers()
+    } -> std::convertible_to<std::vector<std::string>>;
 };
 
 // Runs one scenario; returns what was not as expected, or nothing.
@@ -135,8 +142,8 @@
   {
     CallerRequest request = MakeRequest(aWords[1]);
     request.read_ = aRead;
-    request.statement_ = aRead ? "get " + aWords[3]
-                               : "add " + aWords[3] + " " + aWords[4];
+    request.statement_ =
+      aRead ? "get " + aWords[3] : "add " + aWords[3] + " " + aWords[4];
     last_ = stage_.Execute(aWords[2], request);
     Finish(aWords[1]);
   }
--- a/tests/World.cpp
+++ b/tests/World.cpp
@@ -225,9 +225,9 @@
   aVm.info_.set_incarnation(aVm.life_ * 1'000'000);
   aVm.info_.set_voter(
     aVm.votes_ ? fmt::format("{}/{}", aVm.info_.id(), aVm.disk_) : "");
-  const std::uint64_t seed =
-    config_.seed_ * 1000 + std::hash<std::string>{}(aVm.info_.id()) % 997 +
-    aVm.life_;
+  const std::uint64_t seed = config_.seed_ * 1000 +
+                             std::hash<std::string>{}(aVm.info_.id()) % 997 +
+                             aVm.life_;
   ControlConfig control;
   control.self_ = aVm.info_;
   control.seed_ = seed;
@@ -238,8 +238,7 @@
     }
   }
   aVm.control_ = std::make_unique<ControlNode>(
-    std::move(control),
-    aVm.votes_ ? std::optional(aVm.saved_) : std::nullopt);
+    std::move(control), aVm.votes_ ? std::optional(aVm.saved_) : std::nullopt);
   TrafficConfig traffic;
   traffic.self_ = aVm.info_.id();
   traffic.zone_ = aVm.zone_;
@@ -319,9 +318,8 @@
   } else if (auto* entries = std::get_if<SaveEntries>(&aAction)) {
     const std::uint64_t first = entries->entries_.front().index();
     disk.entries_.resize(first - disk.snapshot_.index() - 1);
-    disk.entries_.insert(disk.entries_.end(),
-                         entries->entries_.begin(),
-                         entries->entries_.end());
+    disk.entries_.insert(
+      disk.entries_.end(), entries->entries_.begin(), entries->entries_.end());
   } else if (auto* snapshot = std::get_if<SaveSnapshot>(&aAction)) {
     disk.snapshot_ = snapshot->snapshot_;
     disk.entries_ = snapshot->entries_;
@@ -353,8 +351,8 @@
     operators_[answer->operator_] = answer->outcome_;
   } else if (auto* call = std::get_if<CallUpstream>(&aAction)) {
     FakeServer& server = servers_.at(call->server_);
-    const bool reached = Reaches(aVm.zone_, server.info_.zone()) &&
-                         server.up_ && !server.frozen_;
+    const bool reached =
+      Reaches(aVm.zone_, server.info_.zone()) && server.up_ && !server.frozen_;
     const Duration way = DelayBetween(aVm.zone_, server.info_.zone());
     const auto finish = [this, &aVm, life, number = call->call_](
                           std::optional<UpstreamAnswer> aAnswer) {
@@ -454,20 +452,20 @@
   const ZoneId zone = server.info_.zone();
   const Duration way = DelayBetween(aVm.zone_, zone);
   const std::uint64_t life = aVm.life_;
-  const auto back = [this, &aVm, life, aId, key, zone, way](
-                      const UpstreamAnswer& aAnswer) {
-    if (!Reaches(zone, aVm.zone_)) {
-      return;
-    }
-    At(way, [this, &aVm, life, aId, key, aAnswer] {
-      Deliver(aVm, life, [this, &aVm, aId, key, aAnswer] {
-        const auto at = connections_.find(key);
-        if (at != connections_.end() && !at->second.silent_) {
-          StepTraffic(aVm, TakeAnswer{ aId, aAnswer });
-        }
+  const auto back =
+    [this, &aVm, life, aId, key, zone, way](const UpstreamAnswer& aAnswer) {
+      if (!Reaches(zone, aVm.zone_)) {
+        return;
+      }
+      At(way, [this, &aVm, life, aId, key, aAnswer] {
+        Deliver(aVm, life, [this, &aVm, aId, key, aAnswer] {
+          const auto at = connections_.find(key);
+          if (at != connections_.end() && !at->second.silent_) {
+            StepTraffic(aVm, TakeAnswer{ aId, aAnswer });
+          }
+        });
       });
-    });
-  };
+    };
   if (!Reaches(aVm.zone_, zone)) {
     return;
   }
@@ -542,11 +540,11 @@
 World::TickServer(const ServerId& aServer)
 {
   FakeServer& server = servers_.at(aServer);
-  const auto ticks = static_cast<std::uint64_t>(
-    now_.time_since_epoch() / kServerTick);
+  const auto ticks =
+    static_cast<std::uint64_t>(now_.time_since_epoch() / kServerTick);
   const bool active = server.up_ && !server.frozen_;
-  if (active && ticks % static_cast<std::uint64_t>(kAnnounce / kServerTick) ==
-                  0) {
+  if (active &&
+      ticks % static_cast<std::uint64_t>(kAnnounce / kServerTick) == 0) {
     for (auto& [id, vm] : vms_) {
       if (Reaches(server.info_.zone(), vm.zone_)) {
         Deliver(vm, vm.life_, [this, &vm = vm, info = server.info_] {
@@ -555,9 +553,8 @@
       }
     }
   }
-  const auto lag =
-    std::max<std::uint64_t>(1, static_cast<std::uint64_t>(
-                                 config_.lag_ / kServerTick));
+  const auto lag = std::max<std::uint64_t>(
+    1, static_cast<std::uint64_t>(config_.lag_ / kServerTick));
   if (active && !server.primaryHost_.empty() && ticks % lag == 0) {
     const FakeServer& primary = servers_.at(server.primaryHost_);
     const bool reached = primary.up_ && !primary.frozen_ &&
@@ -718,10 +715,9 @@
   cuts_.insert({ aZone, aOther });
   cuts_.insert({ aOther, aZone });
   for (auto& [key, connection] : connections_) {
-    connection.silent_ =
-      connection.silent_ ||
-      !Reaches(vms_.at(connection.vm_).zone_,
-               servers_.at(connection.server_).info_.zone());
+    connection.silent_ = connection.silent_ ||
+                         !Reaches(vms_.at(connection.vm_).zone_,
+                                  servers_.at(connection.server_).info_.zone());
   }
 }
 
@@ -739,6 +735,16 @@
   }
 }
 
+void
+World::Reset(const ServerId& aServer)
+{
+  for (const auto& [key, connection] : connections_) {
+    if (connection.server_ == aServer) {
+      Lose(key, 0us);
+    }
+  }
+}
+
 // ---- Questions
 
 bool
--- a/tests/World.h
+++ b/tests/World.h
@@ -98,6 +98,8 @@
   void Heal();
   // Connections open now swallow everything; new ones work.
   void Silence(const ServerId& aServer);
+  // Connections open now are reset; what they carried may run all the same.
+  void Reset(const ServerId& aServer);
 
   ServerId FindPrimary(const DatabaseId& aDatabase) const;
   const FakeServer& Server(const ServerId& aServer) const;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -55,6 +55,8 @@
       world_.Drain(aName);
     } else if (aVerb == "silence") {
       world_.Silence(aName);
+    } else if (aVerb == "reset") {
+      world_.Reset(aName);
     } else if (aVerb == "cutoff") {
       world_.CutOff(aName);
     } else if (aVerb == "cut") {
--- a/traffic/Actions.h
+++ b/traffic/Actions.h
@@ -10,6 +10,7 @@
 #include "wire/Json.h"
 #include "wire/jaydoor.pb.h"
 
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -82,14 +83,27 @@
                                    EmitSpan>;
 using TrafficActions = std::vector<TrafficAction>;
 
-// Hands out ids that are unique within one process run.
+// The first of a row of ids that other processes hold on to. It is random, so
+// that what was meant for a former run of this process never fits this one.
+inline std::uint64_t
+MakeFirstId(std::mt19937_64& aRandom)
+{
+  return (aRandom() >> 2) + 1;
+}
+
+// Hands out ids that no former run of the process has handed out.
 class IdSource
 {
 public:
+  explicit IdSource(std::uint64_t aFirst)
+    : next_(aFirst)
+  {
+  }
+
   std::uint64_t Next() { return next_++; }
 
 private:
-  std::uint64_t next_ = 1;
+  std::uint64_t next_;
 };
 
 } // namespace jaydoor
--- a/traffic/GroupWatch.cpp
+++ b/traffic/GroupWatch.cpp
@@ -163,13 +163,14 @@
 }
 
 bool
-GroupWatch::IsDurable(LogPoint aPoint) const
+GroupWatch::IsDurable(LogPoint aPoint, const ServerId& aHolder) const
 {
   std::size_t holders = 0;
   for (const auto& [id, member] : members_) {
-    const bool holds = member.answered_ && member.promised_ == aPoint.term_ &&
+    const bool shown = member.answered_ && member.promised_ == aPoint.term_ &&
                        member.point_.term_ == aPoint.term_ &&
                        member.point_.position_ >= aPoint.position_;
+    const bool holds = id == aHolder || shown;
     holders += holds ? 1U : 0U;
   }
   return groupSize_ > 0 && holders >= Majority();
--- a/traffic/GroupWatch.h
+++ b/traffic/GroupWatch.h
@@ -39,8 +39,9 @@
   bool Answered(ConnectionId aId, const UpstreamAnswer& aAnswer, Time aNow);
 
   // True if a majority holds the point durably in the history of its term and
-  // none of that majority has promised a later term.
-  bool IsDurable(LogPoint aPoint) const;
+  // none of that majority had promised a later term when it stored it.
+  // `aHolder` has answered with the point and counts without being asked.
+  bool IsDurable(LogPoint aPoint, const ServerId& aHolder) const;
 
   // The data that `aServer` holds at `aPoint` contains all that the primary
   // had acknowledged at the returned time. Unset: nothing can be proven.
--- a/traffic/RankQueue.cpp
+++ b/traffic/RankQueue.cpp
@@ -8,6 +8,7 @@
 
 constexpr int kSmoothing = 16;   // weight of the past in the service time
 constexpr double kMaxCredit = 2; // turns that a floor can save up
+constexpr double kWholeTurn = 1 - 1e-9; // a turn, but for rounding
 
 constexpr std::size_t
 IndexOf(Rank aRank)
@@ -103,7 +104,7 @@
       continue;
     }
     state.credit_ = std::min(kMaxCredit, state.credit_ + floors_[i]);
-    if (!owed && state.credit_ >= 1) {
+    if (!owed && state.credit_ >= kWholeTurn) {
       owed = static_cast<Rank>(i);
     }
   }
--- a/traffic/StatementRouter.cpp
+++ b/traffic/StatementRouter.cpp
@@ -74,6 +74,7 @@
   , zone_(std::move(aZone))
   , signer_(std::move(aSigner))
   , random_(aSeed)
+  , nextForward_(MakeFirstId(random_))
   , view_(std::make_shared<FleetView>())
 {
 }
--- a/traffic/StatementRouter.h
+++ b/traffic/StatementRouter.h
@@ -127,13 +127,13 @@
   ZoneId zone_;
   SessionSigner signer_;
   std::mt19937_64 random_;
+  RequestId nextForward_; // begins at random: see MakeFirstId
   FleetViewPtr view_;
   bool draining_ = false;
   RetryBudget budget_;
   Flows flows_;
   std::map<RequestId, RequestId> forwards_; // forward id to flow
   std::map<ServerId, ServerNote> notes_;
-  RequestId nextForward_ = 1;
   std::vector<ForwardOut> out_;
   std::vector<CancelOut> cancels_;
   TrafficActions actions_;
--- a/traffic/TrafficNode.cpp
+++ b/traffic/TrafficNode.cpp
@@ -11,18 +11,19 @@
 
 constexpr Duration kMaxWake = 100ms;
 
-constexpr std::uint64_t kSpanSeed = 0x5eed; // keeps span ids of owners apart
+constexpr std::uint64_t kOwnerSeed = 0x5eed; // keeps its ids apart
 
 } // namespace
 
 TrafficNode::TrafficNode(TrafficConfig aConfig)
   : config_(std::move(aConfig))
+  , random_(config_.seed_ ^ kOwnerSeed)
+  , ids_(MakeFirstId(random_))
   , view_(std::make_shared<FleetView>())
   , router_(config_.self_,
             config_.zone_,
             SessionSigner(config_.sessionKeys_),
             config_.seed_)
-  , random_(config_.seed_ ^ kSpanSeed)
 {
 }
 
--- a/traffic/TrafficNode.h
+++ b/traffic/TrafficNode.h
@@ -156,6 +156,7 @@
                       TrafficActions& aOut);
 
   TrafficConfig config_;
+  std::mt19937_64 random_;
   IdSource ids_;
   FleetViewPtr view_;
   StatementRouter router_;
@@ -163,7 +164,6 @@
   std::map<DatabaseId, GroupWatch> watches_;
   std::map<VmId, DelayEstimate> delays_;
   std::map<std::pair<VmId, RequestId>, std::string> traces_;
-  std::mt19937_64 random_;
   TrafficCounters counters_;
   bool draining_ = false;
 };
--- a/traffic/UpstreamOwner.cpp
+++ b/traffic/UpstreamOwner.cpp
@@ -605,36 +605,57 @@
   }
 }
 
+// A write has to be on a majority. So has what a read shows: data that a
+// failover could still lose must not be seen, or a later read would go back.
+// A replica has its data from the primary, so that two hold it.
+UpstreamOwner::Proof
+UpstreamOwner::FindProof(const OwnedStatement& aStatement,
+                         const GroupWatch& aWatch) const
+{
+  const LogPoint point = aStatement.answer_.point_;
+  const bool write = NeedsMajority(aStatement);
+  if (!write && point < aStatement.minPoint_) {
+    return Proof::Behind;
+  }
+  if ((write || primary_) && !aWatch.IsDurable(point, info_.server())) {
+    return Proof::Open;
+  }
+  if (write) {
+    return Proof::Given;
+  }
+  const auto fresh = aWatch.FreshAsOf(info_.server(), point);
+  const Time wanted = aStatement.arrivedAt_ - aStatement.maxAge_;
+  return fresh && *fresh >= wanted ? Proof::Given : Proof::Open;
+}
+
+// A replica that can't prove itself soon is left for the primary.
+Time
+UpstreamOwner::ProofLimit(const OwnedStatement& aStatement) const
+{
+  if (NeedsMajority(aStatement) || primary_) {
+    return aStatement.deadline_;
+  }
+  return std::min(aStatement.ranUntil_ + timing_.freshWait_,
+                  aStatement.deadline_);
+}
+
 void
 UpstreamOwner::CheckProofs(Time aNow, const GroupWatch& aWatch)
 {
   std::vector<std::uint64_t> open;
   for (const std::uint64_t id : std::exchange(proving_, {})) {
     const OwnedStatement& statement = statements_.at(id);
-    const LogPoint point = statement.answer_.point_;
-    if (NeedsMajority(statement)) {
-      // An empty commit wrote nothing that could be lost.
-      if (aWatch.IsDurable(point)) {
-        ReplyById(id, Outcome::Done, Reason::None, aNow);
-      } else if (aNow >= statement.deadline_) {
-        ReplyById(id, Outcome::Unknown, Reason::NotDurable, aNow);
-      } else {
-        open.push_back(id);
-      }
-      continue;
-    }
-    const auto fresh = aWatch.FreshAsOf(info_.server(), point);
-    const Time wanted = statement.arrivedAt_ - statement.maxAge_;
-    const Time until =
-      primary_ ? statement.deadline_ : statement.ranUntil_ + timing_.freshWait_;
-    if (point < statement.minPoint_) {
-      ReplyById(id, Outcome::Failed, Reason::Behind, aNow);
-    } else if (fresh && *fresh >= wanted) {
+    const auto proof = FindProof(statement, aWatch);
+    if (proof == Proof::Given) {
       ReplyById(id, Outcome::Done, Reason::None, aNow);
-    } else if (aNow >= std::min(until, statement.deadline_)) {
-      ReplyById(id, Outcome::Failed, Reason::Stale, aNow);
-    } else {
+    } else if (proof == Proof::Behind) {
+      ReplyById(id, Outcome::Failed, Reason::Behind, aNow);
+    } else if (aNow < ProofLimit(statement)) {
       open.push_back(id);
+    } else if (NeedsMajority(statement)) {
+      ReplyById(id, Outcome::Unknown, Reason::NotDurable, aNow);
+    } else {
+      ReplyById(id, Outcome::Failed, Reason::Stale, aNow);
     }
   }
   proving_ = std::move(open);
--- a/traffic/UpstreamOwner.h
+++ b/traffic/UpstreamOwner.h
@@ -114,6 +114,14 @@
     Held,     // by a transaction, between statements
   };
 
+  // Whether what a statement did or saw is proven.
+  enum class Proof : std::uint8_t
+  {
+    Open,
+    Given,
+    Behind, // the answer is behind what the session has seen
+  };
+
   struct Connection
   {
     Use use_ = Use::Opening;
@@ -151,6 +159,9 @@
   void BounceQueued(Time aNow);
   void CheckRunning(Time aNow, TrafficActions& aOut);
   void DropAgeMates(Time aOpenedUntil, Time aNow, TrafficActions& aOut);
+  Proof FindProof(const OwnedStatement& aStatement,
+                  const GroupWatch& aWatch) const;
+  Time ProofLimit(const OwnedStatement& aStatement) const;
   void CheckProofs(Time aNow, const GroupWatch& aWatch);
   void CheckTransactions(Time aNow, TrafficActions& aOut);
   void StartQueued(Time aNow, IdSource& aIds, TrafficActions& aOut);
