Links and stand-ins let go of dead connections; ownership and membership at size

Cause: a link that is connected but never answers waited 30 s for ZeroMQ's handshake, so that after a cut answers, suspicions and log entries did not pass. Ruled out: the writes are in the logs of all three servers, only the answers were missing. Change: handshake and connect limits of 1 s; the stand-in ends idle connections after 5 s.

Change: owners are chosen among the VMs of a zone by an index, a tick of the membership looks only at ailing members, questions of watches are paced by a budget, and a suspicion makes the other watchers ask at once.

--- a/base/Erase.h
+++ b/base/Erase.h
@@ -3,6 +3,8 @@
 // Erases entries of a map while looking at them mutably, which std::erase_if
 // does not allow.
 
+#include <set>
+
 namespace jaydoor {
 
 // Calls `aDrop(key, value)` for each entry; true erases the entry.
@@ -19,4 +21,14 @@
   }
 }
 
+// The same for a set: calls `aDrop(key)`.
+template<typename Key, typename Predicate>
+void
+EraseWhere(std::set<Key>& aSet, Predicate aDrop)
+{
+  for (auto at = aSet.begin(); at != aSet.end();) {
+    at = aDrop(*at) ? aSet.erase(at) : std::next(at);
+  }
+}
+
 } // namespace jaydoor
--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kZoneProofAfter = 3s; // no quorum: the zone's word counts
 constexpr Duration kGoneEvery = 1s;
 constexpr Duration kGoneAfter = 30s;          // no announcement for this long
-constexpr std::size_t kFanout = 3;            // VMs that a change is pushed to
+constexpr std::size_t kFanout = 5;            // VMs that a change is pushed to
 constexpr std::uint64_t kSnapshotEvery = 256; // changes
 constexpr std::uint64_t kKeptBehind = 64; // log entries kept behind a snapshot
 
@@ -457,7 +457,7 @@
   if (!MayDecide(aNow)) {
     return;
   }
-  promoter_.Tick(state_, ListVms(), aNow);
+  promoter_.Tick(state_, owners_, aNow);
   for (const auto& change : promoter_.TakeProposals()) {
     Propose(change, aNow, aOut);
   }
@@ -498,7 +498,7 @@
     return;
   }
   goneAt_ = aNow + kGoneEvery;
-  const auto vms = ListVms();
+  const OwnerMap owners(ListVms());
   for (const auto& [name, database] : state_.Databases()) {
     for (const auto& server : database.servers()) {
       const auto found = heard_.find(server.server());
@@ -506,7 +506,7 @@
         found == heard_.end() || aNow - found->second.at_ >= kGoneAfter;
       // A primary is first replaced, and then it may go.
       const bool gone = silent && server.server() != database.primary() &&
-                        ChooseOwner(server, vms) == config_.self_.id();
+                        owners.Choose(server) == config_.self_.id();
       if (gone) {
         PendingUpstream& pending = upstreams_[server.server()];
         *pending.change_.mutable_upstream() = server;
@@ -643,6 +643,7 @@
   }
   if (viewDirty_) {
     viewDirty_ = false;
+    owners_ = OwnerMap(ListVms());
     NoteChanges(aOut);
     aOut.push_back(PublishView{ BuildView() });
   }
@@ -693,28 +694,15 @@
   return vms;
 }
 
+// What a server announced to this VM counts here before the log tells it.
 FleetViewPtr
 ControlNode::BuildView() const
 {
-  auto view = std::make_shared<FleetView>();
-  view->index_ = state_.Index();
-  view->rulesVersion_ = state_.RulesVersion();
-  view->proven_ = proven_;
-  view->rules_ = state_.CurrentRules();
-  view->vms_ = ListVms();
-  for (const auto& [name, database] : state_.Databases()) {
-    DatabaseView& group = view->databases_[name];
-    group.primary_ = database.primary();
-    group.term_ = database.primary_term();
-    group.groupSize_ = ControlState::GroupSize(database);
-    for (const auto& server : database.servers()) {
-      group.servers_.push_back(server.server());
-      ServerView& own = view->servers_[server.server()];
-      own.info_ = server;
-      const auto heard = heard_.find(server.server());
-      if (heard != heard_.end() && heard->second.info_.leaving()) {
-        own.info_.set_leaving(true);
-      }
+  auto view = BuildFleetView(state_, ListVms(), proven_);
+  for (const auto& [id, heard] : heard_) {
+    const auto found = view->servers_.find(id);
+    if (heard.info_.leaving() && found != view->servers_.end()) {
+      found->second.info_.set_leaving(true);
     }
   }
   return view;
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -137,6 +137,7 @@
   const Raft* Consensus() const { return raft_ ? &*raft_ : nullptr; }
   bool IsProven() const { return proven_; }
   VmId LeaderVm() const;
+  std::vector<VmView> ListVms() const;
   const ControlCounters& Counters() const { return counters_; }
 
 private:
@@ -200,12 +201,12 @@
   void PushDelta(std::uint64_t aFrom, ControlActions& aOut);
   void NoteChanges(ControlActions& aOut);
   FleetViewPtr BuildView() const;
-  std::vector<VmView> ListVms() const;
 
   ControlConfig config_;
   ControlState state_;
   Membership membership_;
   Promoter promoter_;
+  OwnerMap owners_; // of the live VMs
   std::optional<Raft> raft_;
   std::mt19937_64 random_;
 
--- a/control/ControlState.cpp
+++ b/control/ControlState.cpp
@@ -272,4 +272,29 @@
   return size;
 }
 
+std::shared_ptr<FleetView>
+BuildFleetView(const ControlState& aState,
+               std::vector<VmView> aVms,
+               bool aProven)
+{
+  auto view = std::make_shared<FleetView>();
+  view->index_ = aState.Index();
+  view->rulesVersion_ = aState.RulesVersion();
+  view->proven_ = aProven;
+  view->rules_ = aState.CurrentRules();
+  view->vms_ = std::move(aVms);
+  view->owners_ = OwnerMap(view->vms_);
+  for (const auto& [name, database] : aState.Databases()) {
+    DatabaseView& group = view->databases_[name];
+    group.primary_ = database.primary();
+    group.term_ = database.primary_term();
+    group.groupSize_ = ControlState::GroupSize(database);
+    for (const auto& server : database.servers()) {
+      group.servers_.push_back(server.server());
+      view->servers_[server.server()].info_ = server;
+    }
+  }
+  return view;
+}
+
 } // namespace jaydoor
--- a/control/ControlState.h
+++ b/control/ControlState.h
@@ -69,4 +69,10 @@
   std::deque<wire::Change> recent_; // ends at index_
 };
 
+// The picture of the state that traffic decides by.
+std::shared_ptr<FleetView>
+BuildFleetView(const ControlState& aState,
+               std::vector<VmView> aVms,
+               bool aProven);
+
 } // namespace jaydoor
--- a/control/FleetView.cpp
+++ b/control/FleetView.cpp
@@ -3,52 +3,38 @@
 #include <xxhash.h>
 
 namespace jaydoor {
-namespace {
 
-std::uint64_t
-WeighOwner(const ServerId& aServer, const VmId& aVm)
+OwnerMap::OwnerMap(std::span<const VmView> aVms)
 {
-  const std::string key = aServer + '/' + aVm;
-  return XXH3_64bits(key.data(), key.size());
+  for (const auto& vm : aVms) {
+    if (!vm.leaving_) {
+      const Candidate candidate{ vm.id_,
+                                 XXH3_64bits(vm.id_.data(), vm.id_.size()) };
+      zones_[vm.zone_].push_back(candidate);
+      all_.push_back(candidate);
+    }
+  }
 }
 
-template<typename Predicate>
 VmId
-ChooseAmong(const ServerId& aServer,
-            std::span<const VmView> aVms,
-            Predicate aPredicate)
+OwnerMap::Choose(const wire::Upstream& aServer) const
 {
-  VmId best;
+  const auto local = zones_.find(aServer.zone());
+  const auto& candidates = local == zones_.end() ? all_ : local->second;
+  const std::string& server = aServer.server();
+  const Candidate* best = nullptr;
   std::uint64_t bestWeight = 0;
-  for (const auto& vm : aVms) {
-    if (!aPredicate(vm)) {
-      continue;
-    }
-    const std::uint64_t weight = WeighOwner(aServer, vm.id_);
-    const bool better = best.empty() || weight > bestWeight ||
-                        (weight == bestWeight && vm.id_ < best);
+  for (const auto& candidate : candidates) {
+    const std::uint64_t weight =
+      XXH3_64bits_withSeed(server.data(), server.size(), candidate.hash_);
+    const bool better = best == nullptr || weight > bestWeight ||
+                        (weight == bestWeight && candidate.id_ < best->id_);
     if (better) {
-      best = vm.id_;
+      best = &candidate;
       bestWeight = weight;
     }
   }
-  return best;
-}
-
-} // namespace
-
-VmId
-ChooseOwner(const wire::Upstream& aServer, std::span<const VmView> aVms)
-{
-  const VmId local =
-    ChooseAmong(aServer.server(), aVms, [&aServer](const VmView& aVm) {
-      return !aVm.leaving_ && aVm.zone_ == aServer.zone();
-    });
-  if (!local.empty()) {
-    return local;
-  }
-  return ChooseAmong(
-    aServer.server(), aVms, [](const VmView& aVm) { return !aVm.leaving_; });
+  return best == nullptr ? VmId() : best->id_;
 }
 
 } // namespace jaydoor
--- a/control/FleetView.h
+++ b/control/FleetView.h
@@ -21,6 +21,29 @@
   bool leaving_ = false; // finishes what it has, owns nothing new
 };
 
+// Which VM owns which server: rendezvous hashing over the serving VMs of the
+// server's zone, over all of them where the zone has none. The result does
+// not depend on the order of the VMs.
+class OwnerMap
+{
+public:
+  OwnerMap() = default;
+  explicit OwnerMap(std::span<const VmView> aVms);
+
+  // Empty if no VM serves.
+  VmId Choose(const wire::Upstream& aServer) const;
+
+private:
+  struct Candidate
+  {
+    VmId id_;
+    std::uint64_t hash_ = 0; // of the id
+  };
+
+  std::map<ZoneId, std::vector<Candidate>> zones_;
+  std::vector<Candidate> all_;
+};
+
 struct ServerView
 {
   wire::Upstream info_; // as announced
@@ -41,16 +64,11 @@
   bool proven_ = false;            // rules are proven to be in force
   Rules rules_;
   std::vector<VmView> vms_; // live ones, by id
+  OwnerMap owners_;         // of vms_
   std::map<ServerId, ServerView> servers_;
   std::map<DatabaseId, DatabaseView> databases_;
 };
 
 using FleetViewPtr = std::shared_ptr<const FleetView>;
 
-// The VM that owns a server: rendezvous hashing over the live VMs of the
-// server's zone, over all live VMs where the zone has none. Empty if no VM
-// is live. `aVms` is in any order; the result does not depend on it.
-VmId
-ChooseOwner(const wire::Upstream& aServer, std::span<const VmView> aVms);
-
 } // namespace jaydoor
--- a/control/Membership.cpp
+++ b/control/Membership.cpp
@@ -69,7 +69,7 @@
 }
 
 std::vector<VmId>
-Membership::ChooseRandom(std::size_t aCount)
+Membership::ShuffleLive()
 {
   std::vector<VmId> live;
   for (const auto& [id, member] : members_) {
@@ -78,10 +78,36 @@
     }
   }
   std::shuffle(live.begin(), live.end(), random_);
-  live.resize(std::min(live.size(), aCount));
   return live;
 }
 
+// The next ones of a shuffled round: random, and without a walk through all
+// members at each call.
+std::vector<VmId>
+Membership::ChooseRandom(std::size_t aCount)
+{
+  std::vector<VmId> chosen;
+  bool fresh = false;
+  while (chosen.size() < aCount) {
+    if (choices_.empty()) {
+      if (fresh) {
+        break;
+      }
+      choices_ = ShuffleLive();
+      fresh = true;
+      continue;
+    }
+    VmId id = std::move(choices_.back());
+    choices_.pop_back();
+    const bool taken =
+      std::find(chosen.begin(), chosen.end(), id) != chosen.end();
+    if (!taken && IsAlive(id)) {
+      chosen.push_back(std::move(id));
+    }
+  }
+  return chosen;
+}
+
 // ---- Probing
 
 void
@@ -105,7 +131,7 @@
 {
   while (true) {
     if (round_.empty()) {
-      round_ = ChooseRandom(members_.size());
+      round_ = ShuffleLive();
       if (round_.empty()) {
         return;
       }
@@ -198,20 +224,32 @@
   }
 }
 
+// Looks only at members that are not alive: there are few of them.
 void
 Membership::CheckMembers(Time aNow)
 {
-  for (auto& [id, member] : members_) {
-    const bool dead = member.state_ == MemberState::Suspect &&
-                      aNow - member.since_ >= timing_.suspectTime_;
-    if (dead) {
-      SetState(member, MemberState::Dead, aNow);
+  std::vector<VmId> dead;
+  EraseWhere(ailing_, [&](const VmId& aId) {
+    const auto found = members_.find(aId);
+    if (found == members_.end() || found->second.state_ == MemberState::Alive) {
+      return true;
     }
-  }
-  EraseWhere(members_, [&](const VmId&, const Member& aMember) {
-    return aMember.state_ == MemberState::Dead &&
-           aNow - aMember.since_ >= timing_.forgetTime_;
+    const Duration since = aNow - found->second.since_;
+    if (found->second.state_ == MemberState::Suspect) {
+      if (since >= timing_.suspectTime_) {
+        dead.push_back(aId);
+      }
+      return false;
+    }
+    if (since >= timing_.forgetTime_) {
+      members_.erase(found);
+      return true;
+    }
+    return false;
   });
+  for (const auto& id : dead) {
+    SetState(members_.at(id), MemberState::Dead, aNow);
+  }
 }
 
 void
@@ -246,9 +284,15 @@
                          std::vector<SendVm>& aOut)
 {
   joined_ = true;
+  const bool whole = aReply.news_size() > static_cast<int>(kNewsPerMessage) + 1;
   for (const auto& news : aReply.news()) {
     TakeNews(news, aNow);
   }
+  if (whole) {
+    // The list of a fleet that is joined is news to nobody else.
+    std::erase_if(
+      news_, [this](const auto& aEntry) { return aEntry.first != self_.id(); });
+  }
   const auto found = pending_.find(aReply.sequence());
   if (found == pending_.end()) {
     return;
@@ -316,6 +360,9 @@
   aMember.state_ = aState;
   aMember.since_ = aNow;
   changes_.push_back({ aMember.vm_, aState });
+  if (aState != MemberState::Alive) {
+    ailing_.insert(aMember.vm_.id());
+  }
   Spread(aMember);
 }
 
--- a/control/Membership.h
+++ b/control/Membership.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,7 @@
     std::uint64_t askedSequence_ = 0;
   };
 
+  std::vector<VmId> ShuffleLive();
   void ProbeNext(Time aNow, std::vector<SendVm>& aOut);
   void ProbeSeed(Time aNow, std::vector<SendVm>& aOut);
   void SendProbe(const VmId& aTo, Pending aPending, std::vector<SendVm>& aOut);
@@ -114,6 +116,8 @@
   std::mt19937_64 random_;
   std::map<VmId, Member> members_;           // others than this VM
   std::map<std::uint64_t, Pending> pending_; // by sequence
+  std::set<VmId> ailing_;                    // members that are suspect or dead
+  std::vector<VmId> choices_;                // shuffled, for ChooseRandom
   std::vector<VmId> round_;  // members left to be probed in this round
   std::map<VmId, int> news_; // VMs to tell of, and how often still
   std::vector<MemberChange> changes_;
--- a/control/Promoter.cpp
+++ b/control/Promoter.cpp
@@ -75,7 +75,7 @@
 // them, counted by servers, has to suspect the primary.
 bool
 Promoter::IsNeeded(const wire::Database& aDatabase,
-                   std::span<const VmView> aVms,
+                   const OwnerMap& aOwners,
                    Time aNow)
 {
   const auto known = static_cast<std::size_t>(aDatabase.servers_size());
@@ -94,7 +94,7 @@
   }
   std::size_t suspecting = 0;
   for (const auto& server : aDatabase.servers()) {
-    const auto report = found->second.find(ChooseOwner(server, aVms));
+    const auto report = found->second.find(aOwners.Choose(server));
     const bool counts = report != found->second.end() &&
                         report->second.suspected_ &&
                         report->second.term_ == aDatabase.primary_term() &&
@@ -105,9 +105,7 @@
 }
 
 void
-Promoter::Tick(const ControlState& aState,
-               std::span<const VmView> aVms,
-               Time aNow)
+Promoter::Tick(const ControlState& aState, const OwnerMap& aOwners, Time aNow)
 {
   for (const auto& [name, database] : aState.Databases()) {
     const bool running = promotions_.contains(name);
@@ -116,7 +114,7 @@
     if (quiet) {
       continue;
     }
-    if (!running && IsNeeded(database, aVms, aNow)) {
+    if (!running && IsNeeded(database, aOwners, aNow)) {
       Promotion& promotion = promotions_[name];
       promotion.startedAt_ = aNow;
       promotion.phaseAt_ = aNow;
--- a/control/Promoter.h
+++ b/control/Promoter.h
@@ -56,9 +56,7 @@
                   Time aNow);
 
   // Moves all promotions on. Call while this VM is the leader with a lease.
-  void Tick(const ControlState& aState,
-            std::span<const VmView> aVms,
-            Time aNow);
+  void Tick(const ControlState& aState, const OwnerMap& aOwners, Time aNow);
   // Forgets what is under way: this VM is no longer the leader.
   void Reset();
 
@@ -107,7 +105,7 @@
   };
 
   bool IsNeeded(const wire::Database& aDatabase,
-                std::span<const VmView> aVms,
+                const OwnerMap& aOwners,
                 Time aNow);
   void Advance(const wire::Database& aDatabase,
                Promotion& aPromotion,
--- a/daemon/AdminJson.cpp
+++ b/daemon/AdminJson.cpp
@@ -62,16 +62,12 @@
             std::span<const TrafficShell::UpstreamFigures> aFigures)
 {
   const ControlState& state = aNode.State();
-  std::vector<VmView> vms;
-  for (const auto& vm : aNode.Members().LiveVms()) {
-    vms.push_back({ vm.id(), vm.zone(), vm.leaving() });
-  }
+  const OwnerMap owners(aNode.ListVms());
   json::array databases;
   for (const auto& [name, database] : state.Databases()) {
     json::array servers;
     for (const auto& server : database.servers()) {
-      servers.push_back(
-        WriteServer(server, ChooseOwner(server, vms), aFigures));
+      servers.push_back(WriteServer(server, owners.Choose(server), aFigures));
     }
     databases.push_back(json::object{ { "database", name },
                                       { "primary", database.primary() },
--- a/daemon/Link.cpp
+++ b/daemon/Link.cpp
@@ -15,6 +15,8 @@
 
 constexpr int kHeartbeatMs = 300; // silent links are found by these
 constexpr int kHeartbeatTimeoutMs = 1000;
+constexpr int kHandshakeMs = 1000; // a new link that says nothing is dropped
+constexpr int kConnectMs = 1000;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
 constexpr int kQueueMessages = 20'000; // per peer, then refused
@@ -124,6 +126,8 @@
     aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
     aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
     aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+    aSocket.set(zmq::sockopt::handshake_ivl, kHandshakeMs);
+    aSocket.set(zmq::sockopt::connect_timeout, kConnectMs);
     aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
   }
--- a/standin/Fleet.cpp
+++ b/standin/Fleet.cpp
@@ -5,7 +5,6 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <thread>
 
 #include <fcntl.h>
@@ -56,8 +55,8 @@
 Fleet::Fleet(FleetConfig aConfig)
   : config_(std::move(aConfig))
 {
-  std::random_device random;
-  net_ = fmt::format("127.{}", 16 + random() % 200);
+  // Fleets of several processes do not meet.
+  net_ = fmt::format("127.{}", 16 + getpid() % 200);
   fs::create_directories(config_.folder_);
   if (config_.relay_) {
     const std::string net = net_;
--- a/standin/Server.cpp
+++ b/standin/Server.cpp
@@ -19,12 +19,23 @@
 constexpr Duration kLongPollStep = 1ms;
 constexpr std::size_t kPullMax = 500; // entries in one answer
 
+// As with a database's keepalive, dead peers do not hold connections for ever.
+constexpr Duration kIdleLimit = 5s;
+
+HttpLimits
+MakeLimits()
+{
+  HttpLimits limits;
+  limits.idleTimeout_ = kIdleLimit;
+  return limits;
+}
+
 } // namespace
 
 Server::Server(asio::io_context& aContext, ServerConfig aConfig)
   : context_(aContext)
   , config_(std::move(aConfig))
-  , http_(aContext, HttpLimits{}, [this](HttpCall aCall) {
+  , http_(aContext, MakeLimits(), [this](HttpCall aCall) {
     return Handle(std::move(aCall));
   })
 {
--- a/tests/chaos_main.cpp
+++ b/tests/chaos_main.cpp
@@ -129,11 +129,12 @@
             { "author", "chaos" }
           };
           for (std::size_t turn = 0; status.at(i) == 0; turn++) {
-            const auto answer = fleet_.Ask(vms[(number + i + turn) % vms.size()],
-                                           standin::kAdminPort,
-                                           "/v1/rules",
-                                           json::serialize(body),
-                                           6s);
+            const auto answer =
+              fleet_.Ask(vms[(number + i + turn) % vms.size()],
+                         standin::kAdminPort,
+                         "/v1/rules",
+                         json::serialize(body),
+                         6s);
             const bool known = answer.status_ == 200 || answer.status_ == 409;
             status.at(i) = known ? answer.status_ : 0;
             if (stop_ && turn > 20) {
@@ -261,7 +262,8 @@
 
   void Log(const std::string& aText) const
   {
-    std::cout << fmt::format("{:>7} ms  {}", CountMs(ReadClock() - start_), aText)
+    std::cout << fmt::format(
+                   "{:>7} ms  {}", CountMs(ReadClock() - start_), aText)
               << std::endl;
   }
 
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -40,6 +40,7 @@
   auto view = std::make_shared<FleetView>();
   view->proven_ = true;
   view->vms_ = { { "vm-a", "zone-a", false }, { "vm-b", "zone-b", false } };
+  view->owners_ = OwnerMap(view->vms_);
   wire::Upstream info;
   info.set_server("db-1");
   info.set_database("db");
--- a/traffic/GroupWatch.cpp
+++ b/traffic/GroupWatch.cpp
@@ -58,6 +58,24 @@
   });
 }
 
+void
+GroupWatch::SetInterval(Duration aInterval)
+{
+  timing_.interval_ = aInterval;
+  for (auto& [id, member] : members_) {
+    member.probe_.SetInterval(aInterval);
+  }
+}
+
+void
+GroupWatch::HurryPrimary()
+{
+  const auto found = members_.find(primary_);
+  if (found != members_.end()) {
+    found->second.probe_.Hurry();
+  }
+}
+
 void
 GroupWatch::Tick(Time aNow, bool aWanted, IdSource& aIds, TrafficActions& aOut)
 {
--- a/traffic/GroupWatch.h
+++ b/traffic/GroupWatch.h
@@ -29,6 +29,11 @@
   // Takes over primary, term and servers from the view.
   void SetView(const FleetView& aView, TrafficActions& aOut);
 
+  // The time between questions to a server when nobody waits.
+  void SetInterval(Duration aInterval);
+  // Asks the primary at once: another watcher suspects it.
+  void HurryPrimary();
+
   // Sends the questions that are due. `aWanted`: somebody waits for a proof.
   void Tick(Time aNow, bool aWanted, IdSource& aIds, TrafficActions& aOut);
   Time NextWake(bool aWanted) const;
--- a/traffic/StatementRouter.cpp
+++ b/traffic/StatementRouter.cpp
@@ -219,7 +219,7 @@
   if (found == view_->servers_.end()) {
     return std::nullopt;
   }
-  const VmId owner = ChooseOwner(found->second.info_, view_->vms_);
+  const VmId owner = view_->owners_.Choose(found->second.info_);
   if (owner.empty()) {
     return std::nullopt;
   }
--- a/traffic/StatusProbe.cpp
+++ b/traffic/StatusProbe.cpp
@@ -31,7 +31,7 @@
     aOut.push_back(OpenConnection{ connection_, host_, port_ });
   }
   const Duration pause = aWanted ? timing_.repeat_ : timing_.interval_;
-  if (state_ == State::Idle && aNow - since_ >= pause) {
+  if (state_ == State::Idle && (hurry_ || aNow - since_ >= pause)) {
     Ask(aNow, aOut);
   }
 }
@@ -49,7 +49,8 @@
     case State::Idle:
       break;
   }
-  return since_ + (aWanted ? timing_.repeat_ : timing_.interval_);
+  return hurry_ ? since_
+                : since_ + (aWanted ? timing_.repeat_ : timing_.interval_);
 }
 
 void
@@ -57,6 +58,7 @@
 {
   state_ = State::Waiting;
   since_ = aNow;
+  hurry_ = false;
   aOut.push_back(
     SendUpstream{ connection_, std::exchange(next_, UpstreamRequest{}) });
 }
--- a/traffic/StatusProbe.h
+++ b/traffic/StatusProbe.h
@@ -27,6 +27,11 @@
   // The next question is this one instead of a plain status.
   void SetNext(UpstreamRequest aRequest) { next_ = std::move(aRequest); }
 
+  // The time between questions when nobody waits.
+  void SetInterval(Duration aInterval) { timing_.interval_ = aInterval; }
+  // The next question is due at once.
+  void Hurry() { hurry_ = true; }
+
   // Sends what is due. `aWanted`: somebody waits for the answer.
   void Tick(Time aNow, bool aWanted, IdSource& aIds, TrafficActions& aOut);
 
@@ -65,6 +70,7 @@
   Time since_;                  // when the state was entered
   Time notBefore_;              // when a connection may be opened
   Time lastAnswer_;             //
+  bool hurry_ = false;          // ask at the next Tick
   bool fresh_ = false;          // the connection has answered nothing yet
   bool unreachable_ = false;    // a fresh connection failed as well
 };
--- a/traffic/TrafficNode.cpp
+++ b/traffic/TrafficNode.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kMaxWake = 100ms;
+constexpr std::size_t kFewServers = 9; // today's fleets: three databases
+constexpr double kProbeBytes = 350;    // question and answer, with HTTP's heads
 
 constexpr std::uint64_t kOwnerSeed = 0x5eed; // keeps its ids apart
 
@@ -42,7 +44,7 @@
   std::vector<DatabaseId> watched;
   for (const auto& [id, server] : view_->servers_) {
     const bool owned =
-      !draining_ && ChooseOwner(server.info_, view_->vms_) == config_.self_;
+      !draining_ && view_->owners_.Choose(server.info_) == config_.self_;
     if (owned) {
       owners_.try_emplace(id, server.info_, config_.self_, config_.owner_);
       watched.push_back(server.info_.database());
@@ -52,7 +54,7 @@
     const auto found = view_->servers_.find(id);
     const bool owned =
       !draining_ && found != view_->servers_.end() &&
-      ChooseOwner(found->second.info_, view_->vms_) == config_.self_;
+      view_->owners_.Choose(found->second.info_) == config_.self_;
     owner.SetView(*view_, owned, aOut);
     if (!owned && !owner.IsIdle()) {
       watched.push_back(owner.Info().database());
@@ -72,6 +74,52 @@
   for (auto& [database, watch] : watches_) {
     watch.SetView(*view_, aOut);
   }
+  PaceWatches();
+}
+
+// Many watched servers are asked less often, so that the questions together
+// stay within their budget; a suspicion makes its watchers ask at once.
+void
+TrafficNode::PaceWatches()
+{
+  std::size_t servers = 0;
+  for (const auto& [database, watch] : watches_) {
+    const auto found = view_->databases_.find(database);
+    servers +=
+      found == view_->databases_.end() ? 0 : found->second.servers_.size();
+  }
+  const double seconds =
+    static_cast<double>(servers) * kProbeBytes / config_.probeBytesPerSecond_;
+  const Duration needed(static_cast<Duration::rep>(seconds * 1e6));
+  // A small fleet can afford the quick pace.
+  const Duration interval = servers <= kFewServers
+                              ? config_.probe_.interval_
+                              : std::max(config_.probe_.interval_, needed);
+  for (auto& [database, watch] : watches_) {
+    watch.SetInterval(interval);
+  }
+}
+
+void
+TrafficNode::AskOtherWatchers(const wire::Suspicion& aSuspicion,
+                              TrafficActions& aOut)
+{
+  const auto group = view_->databases_.find(aSuspicion.database());
+  if (!aSuspicion.suspected() || group == view_->databases_.end()) {
+    return;
+  }
+  std::set<VmId> owners;
+  for (const auto& server : group->second.servers_) {
+    owners.insert(view_->owners_.Choose(view_->servers_.at(server).info_));
+  }
+  owners.erase(config_.self_);
+  owners.erase(VmId());
+  for (const auto& owner : owners) {
+    SendPeer send;
+    send.to_ = owner;
+    send.message_.mutable_check()->set_database(aSuspicion.database());
+    aOut.push_back(std::move(send));
+  }
 }
 
 void
@@ -105,6 +153,13 @@
         owner.Cancel({ message.from(), message.cancel().request() });
       }
       break;
+    case wire::TrafficMessage::kCheck: {
+      const auto watch = watches_.find(message.check().database());
+      if (watch != watches_.end()) {
+        watch->second.HurryPrimary();
+      }
+      break;
+    }
     case wire::TrafficMessage::BODY_NOT_SET:
       break;
   }
@@ -238,6 +293,7 @@
     watch.Tick(aNow, WantsProof(database), ids_, aOut);
     auto suspicion = watch.TakeSuspicion(aNow);
     if (suspicion) {
+      AskOtherWatchers(*suspicion, aOut);
       aOut.push_back(ReportSuspicion{ std::move(*suspicion) });
     }
   }
--- a/traffic/TrafficNode.h
+++ b/traffic/TrafficNode.h
@@ -98,6 +98,7 @@
   std::uint64_t seed_ = 1;
   ProbeTiming probe_;
   OwnerTiming owner_;
+  double probeBytesPerSecond_ = 1000; // for questions that nobody waits for
 };
 
 // Figures for metrics; totals since the start.
@@ -150,6 +151,9 @@
   bool PassOn(Time aNow, TrafficActions& aOut);
   void SendReply(OwnerReply& aReply, Time aNow, TrafficActions& aOut);
   void CountRead(const ServerId& aServer, const wire::ForwardReply& aReply);
+  void PaceWatches();
+  void AskOtherWatchers(const wire::Suspicion& aSuspicion,
+                        TrafficActions& aOut);
   bool WantsProof(const DatabaseId& aDatabase) const;
   void EmitOwnerSpans(const OwnerReply& aReply,
                       Time aNow,
--- a/traffic/UpstreamOwner.cpp
+++ b/traffic/UpstreamOwner.cpp
@@ -118,7 +118,9 @@
   if (routing) {
     return routing;
   }
-  if (IsRead(aStatement) && !primary_) {
+  // The proof may still come while it runs, but not from a lost primary.
+  const bool lost = aWatch.IsUnreachable(aWatch.Primary());
+  if (IsRead(aStatement) && !primary_ && lost) {
     const auto fresh =
       aWatch.FreshAsOf(info_.server(), aWatch.PointOf(info_.server()));
     if (!fresh || *fresh < aNow - aStatement.maxAge_) {
