--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -492,30 +492,32 @@
   pending.change_.set_gone(false);
 }
 
-// A server that this VM owns and that has been silent for long is gone.
+// A server that this VM owns, that announced itself here, and that has been
+// silent for long is gone. One that never announced itself here is not: it
+// may do so to other VMs.
 void
 ControlNode::TickGone(Time aNow)
 {
-  if (aNow < goneAt_ || aNow - startedAt_ < kGoneAfter) {
+  if (aNow < goneAt_) {
     return;
   }
   goneAt_ = aNow + kGoneEvery;
-  const OwnerMap owners(ListVms());
-  for (const auto& [name, database] : state_.Databases()) {
-    for (const auto& server : database.servers()) {
-      const auto found = heard_.find(server.server());
-      const bool silent =
-        found == heard_.end() || aNow - found->second.at_ >= kGoneAfter;
-      // A primary is first replaced, and then it may go.
-      const bool gone = silent && server.server() != database.primary() &&
-                        owners.Choose(server) == config_.self_.id();
-      if (gone) {
-        PendingUpstream& pending = upstreams_[server.server()];
-        *pending.change_.mutable_upstream() = server;
-        pending.change_.set_gone(true);
-      }
+  EraseWhere(heard_, [&](const ServerId& aId, const Heard& aHeard) {
+    const wire::Upstream* server = state_.FindServer(aId);
+    if (server == nullptr || aNow - aHeard.at_ < kGoneAfter) {
+      return false;
     }
-  }
+    const auto& database = state_.Databases().at(server->database());
+    // A primary is first replaced, and then it may go.
+    const bool gone = database.primary() != aId &&
+                      owners_.Choose(*server) == config_.self_.id();
+    if (gone) {
+      PendingUpstream& pending = upstreams_[aId];
+      *pending.change_.mutable_upstream() = *server;
+      pending.change_.set_gone(true);
+    }
+    return gone;
+  });
 }
 
 // ---- Operators
