Floods: refuse what would be answered too late; links open when used

Cause: under a flood of its own rank a queue by deadline runs what is about to expire. An item was dropped only when less than half a service time was left, but its answer also waits for the proof on a majority, so that most of the work was done for answers that came too late. Change: the queue learns the time from sending to the proven answer and its deviation, and drops what has less left.

Links between VMs are opened at the first message and closed after 60 s without one; those for statements refuse what they can't send, those for control keep it.

--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -303,14 +303,26 @@
   {
   }
 
-  void Run(const Deployment& aDeployment)
+  // `aOnly`: one part, or empty for all.
+  void Run(const Deployment& aDeployment, const std::string& aOnly)
   {
     deployment_ = &aDeployment;
-    MeasureLatency();
-    MeasureFloods();
-    MeasureReplicas();
+    const auto wanted = [&aOnly](std::string_view aPart) {
+      return aOnly.empty() || aOnly == aPart;
+    };
+    if (wanted("latency")) {
+      MeasureLatency();
+    }
+    if (wanted("floods")) {
+      MeasureFloods();
+    }
+    if (wanted("replicas")) {
+      MeasureReplicas();
+    }
     for (const std::string fault : { "killed", "frozen", "cut_off" }) {
-      MeasureFailover(fault);
+      if (wanted("failover")) {
+        MeasureFailover(fault);
+      }
     }
   }
 
@@ -630,14 +642,20 @@
   add("build", "build folder", cxxopts::value<std::string>());
   add("folder", "work folder, emptied", cxxopts::value<std::string>());
   add("quick", "one deployment, short runs");
+  add("only",
+      "costs, latency, floods, replicas or failover",
+      cxxopts::value<std::string>()->default_value(""));
   const auto read = options.parse(aCount, aArguments);
   const bool quick = read.count("quick") > 0;
   Measures measures(
     read["build"].as<std::string>(), read["folder"].as<std::string>(), quick);
-  measures.MeasureCosts();
+  const std::string only = read["only"].as<std::string>();
+  if (only.empty() || only == "costs") {
+    measures.MeasureCosts();
+  }
   for (const auto& deployment : kDeployments) {
     if (!quick || &deployment == kDeployments.data()) {
-      measures.Run(deployment);
+      measures.Run(deployment, only);
     }
   }
   return 0;
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -76,6 +76,7 @@
             [this](HttpCall aCall) { return Serve(std::move(aCall)); })
     , link_(context_,
             aSettings.bind_,
+            LinkQueue::Keep,
             { aSettings.linkPublicKey_, aSettings.linkSecretKey_ },
             [this](std::string_view aBytes) { TakeLink(aBytes); })
   {
@@ -392,6 +393,7 @@
     const Raft* raft = node_->Consensus();
     add("jaydoor_is_leader", raft != nullptr && raft->IsLeader() ? 1 : 0);
     add("jaydoor_links_refused_total", link_.Refused());
+    add("jaydoor_control_links_open", link_.Open());
     return text;
   }
 
--- a/daemon/Link.cpp
+++ b/daemon/Link.cpp
@@ -1,10 +1,14 @@
 #include "daemon/Link.h"
 
+#include "daemon/Clock.h"
+
 #include <array>
 #include <map>
+#include <optional>
 
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <zmq.hpp>
 
@@ -17,6 +21,8 @@
 constexpr int kHeartbeatTimeoutMs = 1000;
 constexpr int kHandshakeMs = 1000; // a new link that says nothing is dropped
 constexpr int kConnectMs = 1000;
+constexpr Duration kCloseAfter = 60s; // an unused link
+constexpr Duration kSweepEvery = 10s;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
 constexpr int kQueueMessages = 20'000; // per peer, then refused
@@ -82,8 +88,9 @@
 
 struct Peer
 {
-  zmq::socket_t socket_;
   std::string endpoint_;
+  std::optional<zmq::socket_t> socket_; // open while it is used
+  Time usedAt_;
 };
 
 std::string
@@ -98,9 +105,12 @@
 {
   Impl(asio::io_context& aContext,
        std::string aBind,
+       LinkQueue aQueue,
        LinkKeys aKeys,
        std::function<void(std::string_view)> aReceive)
-    : bind_(std::move(aBind))
+    : sweep_(aContext)
+    , queue_(aQueue)
+    , bind_(std::move(aBind))
     , keys_(std::move(aKeys))
     , receive_(std::move(aReceive))
     , inbox_(aContext, zmq_, zmq::socket_type::pull, [this] { Drain(); })
@@ -177,6 +187,40 @@
     return { bytes.begin(), bytes.end() };
   }
 
+  // Opens the socket of a peer.
+  void Connect(Peer& aPeer)
+  {
+    zmq::socket_t socket(zmq_, zmq::socket_type::push);
+    Prepare(socket);
+    socket.set(zmq::sockopt::immediate, queue_ == LinkQueue::Refuse ? 1 : 0);
+    if (HasKeys()) {
+      socket.set(zmq::sockopt::curve_serverkey, keys_.public_);
+      socket.set(zmq::sockopt::curve_publickey, keys_.public_);
+      socket.set(zmq::sockopt::curve_secretkey, keys_.secret_);
+    }
+    // "tcp://source;destination" connects from the source address.
+    socket.connect(fmt::format("tcp://{}:0;{}", bind_, aPeer.endpoint_));
+    aPeer.socket_ = std::move(socket);
+  }
+
+  void Sweep()
+  {
+    sweep_.expires_after(kSweepEvery);
+    sweep_.async_wait([this](boost::system::error_code aError) {
+      if (aError) {
+        return;
+      }
+      for (auto& [id, peer] : peers_) {
+        if (ReadClock() - peer.usedAt_ >= kCloseAfter) {
+          peer.socket_.reset();
+        }
+      }
+      Sweep();
+    });
+  }
+
+  asio::steady_timer sweep_;
+  LinkQueue queue_;
   std::string bind_;
   LinkKeys keys_;
   std::function<void(std::string_view)> receive_;
@@ -189,10 +233,12 @@
 
 Link::Link(asio::io_context& aContext,
            std::string aBind,
+           LinkQueue aQueue,
            LinkKeys aKeys,
            std::function<void(std::string_view)> aReceive)
   : impl_(std::make_unique<Impl>(aContext,
                                  std::move(aBind),
+                                 aQueue,
                                  std::move(aKeys),
                                  std::move(aReceive)))
 {
@@ -214,30 +260,19 @@
                   error.what()));
   }
   impl_->inbox_.Start();
+  impl_->Sweep();
   return true;
 }
 
 void
 Link::SetPeer(const VmId& aVm, const std::string& aHost, std::uint16_t aPort)
 {
-  const std::string endpoint = EndpointOf(aHost, aPort);
-  const auto found = impl_->peers_.find(aVm);
-  if (found != impl_->peers_.end() && found->second.endpoint_ == endpoint) {
-    return;
-  }
-  impl_->peers_.erase(aVm);
-  zmq::socket_t socket(impl_->zmq_, zmq::socket_type::push);
-  Impl::Prepare(socket);
-  // Nothing is queued for a VM that is not connected.
-  socket.set(zmq::sockopt::immediate, 1);
-  if (impl_->HasKeys()) {
-    socket.set(zmq::sockopt::curve_serverkey, impl_->keys_.public_);
-    socket.set(zmq::sockopt::curve_publickey, impl_->keys_.public_);
-    socket.set(zmq::sockopt::curve_secretkey, impl_->keys_.secret_);
+  const std::string endpoint = fmt::format("{}:{}", aHost, aPort);
+  Peer& peer = impl_->peers_[aVm];
+  if (peer.endpoint_ != endpoint) {
+    peer.socket_.reset();
+    peer.endpoint_ = endpoint;
   }
-  // "tcp://source;destination" connects from the source address.
-  socket.connect(fmt::format("tcp://{}:0;{}:{}", impl_->bind_, aHost, aPort));
-  impl_->peers_.emplace(aVm, Peer{ std::move(socket), endpoint });
 }
 
 bool
@@ -247,11 +282,26 @@
   if (found == impl_->peers_.end()) {
     return false;
   }
-  const auto sent = found->second.socket_.send(
+  Peer& peer = found->second;
+  peer.usedAt_ = ReadClock();
+  if (!peer.socket_) {
+    impl_->Connect(peer);
+  }
+  const auto sent = peer.socket_->send(
     zmq::buffer(aBytes.data(), aBytes.size()), zmq::send_flags::dontwait);
   return sent.has_value();
 }
 
+std::size_t
+Link::Open() const
+{
+  std::size_t open = 0;
+  for (const auto& [id, peer] : impl_->peers_) {
+    open += peer.socket_ ? 1U : 0U;
+  }
+  return open;
+}
+
 std::uint64_t
 Link::Refused() const
 {
--- a/daemon/Link.h
+++ b/daemon/Link.h
@@ -3,9 +3,9 @@
 // One-way messages between VMs over ZeroMQ, driven by an io_context.
 //
 // Each VM binds one socket to receive and connects one to each VM that it
-// sends to. A message is sent whole or not at all; one that can't be sent now
-// is refused, never queued for a VM that can't be reached. With keys, both
-// sides prove that they hold the fleet's key pair.
+// sends to, when it first does; one that is not used for a while is closed, so
+// that a VM of a large fleet holds few. A message is sent whole or not at all.
+// With keys, both sides prove that they hold the fleet's key pair.
 
 #include "base/Error.h"
 #include "base/Types.h"
@@ -19,6 +19,13 @@
 
 namespace jaydoor {
 
+// What happens to a message for a VM that is not connected now.
+enum class LinkQueue
+{
+  Refuse, // it is proven not to have left
+  Keep,   // it is sent late or lost, for messages that bear both
+};
+
 struct LinkKeys
 {
   std::string public_; // Z85, 40 characters; empty: plain links
@@ -32,6 +39,7 @@
   // each message; the sender is in the message.
   Link(boost::asio::io_context& aContext,
        std::string aBind,
+       LinkQueue aQueue,
        LinkKeys aKeys,
        std::function<void(std::string_view)> aReceive);
   ~Link();
@@ -41,8 +49,10 @@
   Expected<bool> Bind(std::uint16_t aPort);
   // Where a VM is reached; a changed address replaces the old one.
   void SetPeer(const VmId& aVm, const std::string& aHost, std::uint16_t aPort);
-  // False if the VM is not connected or takes nothing more now.
+  // False if the message was refused.
   bool Send(const VmId& aVm, std::string_view aBytes);
+  // Links that are open now.
+  std::size_t Open() const;
   // Connections refused for a wrong key since the start.
   std::uint64_t Refused() const;
 
--- a/daemon/TrafficShell.cpp
+++ b/daemon/TrafficShell.cpp
@@ -81,6 +81,7 @@
             [this](HttpCall aCall) { return Serve(std::move(aCall)); })
     , link_(context_,
             aSettings.bind_,
+            LinkQueue::Refuse,
             { aSettings.linkPublicKey_, aSettings.linkSecretKey_ },
             [this](std::string_view aBytes) { TakeLink(aBytes); })
     , traces_(aSettings.traceFile_, aSettings.vm_)
--- a/traffic/RankQueue.cpp
+++ b/traffic/RankQueue.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int kSmoothing = 16;   // weight of the past in the service time
+constexpr int kSpreads = 2;      // deviations that an answer may be late by
 constexpr double kMaxCredit = 2; // turns that a floor can save up
 constexpr double kWholeTurn = 1 - 1e-9; // a turn, but for rounding
 
@@ -68,7 +69,7 @@
   if (aItem.deadline_ <= aNow) {
     return Reason::PastDeadline;
   }
-  if (aNow + EstimateWait(aItem.rank_) + service_ > aItem.deadline_) {
+  if (aNow + EstimateWait(aItem.rank_) + TimeToAnswer() > aItem.deadline_) {
     return Reason::Overloaded;
   }
   if (positions_.size() >= kMaxQueued && !MakeRoom(aItem.rank_)) {
@@ -208,7 +209,7 @@
 void
 RankQueue::DropExpired(Time aNow)
 {
-  const Time latest = aNow + service_ / 2;
+  const Time latest = aNow + TimeToAnswer();
   for (auto& state : ranks_) {
     for (auto& [customer, lane] : state.lanes_) {
       while (!lane.items_.empty() && lane.items_.begin()->first <= latest) {
@@ -229,6 +230,20 @@
   return std::exchange(refused_, {});
 }
 
+void
+RankQueue::NoteAnswer(Duration aTime)
+{
+  const Duration off = aTime - answer_;
+  answer_ += off / kSmoothing;
+  spread_ += (std::chrono::abs(off) - spread_) / kSmoothing;
+}
+
+Duration
+RankQueue::TimeToAnswer() const
+{
+  return std::max(service_, answer_ + kSpreads * spread_);
+}
+
 void
 RankQueue::NoteService(Duration aService)
 {
--- a/traffic/RankQueue.h
+++ b/traffic/RankQueue.h
@@ -64,6 +64,11 @@
 
   // Learns from one statement's time at the upstream.
   void NoteService(Duration aService);
+  // Learns from the whole time between sending a statement and its answer,
+  // with the proof that the answer waited for.
+  void NoteAnswer(Duration aTime);
+  // What has less time left than this would be answered too late.
+  Duration TimeToAnswer() const;
 
   // Time that an item of this rank would wait if it came now.
   Duration EstimateWait(Rank aRank) const;
@@ -109,6 +114,8 @@
   std::array<double, kRankCount> floors_{};
   std::size_t slots_ = 1;
   Duration service_ = 2ms; // smoothed time at the upstream
+  Duration answer_ = 2ms;  // smoothed time until the answer is proven
+  Duration spread_{};      // smoothed deviation from it
 };
 
 } // namespace jaydoor
--- a/traffic/StatementRouter.cpp
+++ b/traffic/StatementRouter.cpp
@@ -509,7 +509,13 @@
   }
   const RequestId id = found->second;
   forwards_.erase(found);
-  SettleRefusal(id, flows_.at(id), Reason::Unreachable, aNow);
+  Flow& flow = flows_.at(id);
+  if (Continues(flow.request_)) {
+    Refuse(id, Outcome::NotRun, Reason::Unreachable, aNow);
+    return;
+  }
+  // Nothing has left this VM, so that trying again costs the fleet nothing.
+  Park(flow, Reason::Unreachable, aNow);
 }
 
 // The owner has not answered a statement that may run twice.
--- a/traffic/UpstreamOwner.cpp
+++ b/traffic/UpstreamOwner.cpp
@@ -649,6 +649,7 @@
     const OwnedStatement& statement = statements_.at(id);
     const auto proof = FindProof(statement, aWatch);
     if (proof == Proof::Given) {
+      queue_.NoteAnswer(aNow - statement.sentAt_);
       ReplyById(id, Outcome::Done, Reason::None, aNow);
     } else if (proof == Proof::Behind) {
       ReplyById(id, Outcome::Failed, Reason::Behind, aNow);
