Open transactions leave connections for plain statements; large files split

Cause: a transaction holds its connection between statements, and nothing bounded how many an owner lets begin: eight idle ones would have blocked a server's statements for 10 s. A begin beyond the share is refused as not run.

--- a/traffic/UpstreamOwner.h
+++ b/traffic/UpstreamOwner.h
@@ -8,13 +8,14 @@
 // over its limits, and each owner keeps to a share of the connections.
 //
 // Sections:
-//   1. A statement as the owner holds it
+//   1. Replies and times
 //   2. The owner
 //
 // Life of a statement: queued -> running -> (proof) -> replied. A write waits
 // for the proof that a majority holds it, a read for the proof of its age.
 
 #include "traffic/GroupWatch.h"
+#include "traffic/OwnedStatement.h"
 #include "traffic/RankQueue.h"
 
 #include <map>
@@ -22,31 +23,7 @@
 
 namespace jaydoor {
 
-// ---- 1. A statement as the owner holds it
-
-// Where the reply goes: a VM and its id for the request.
-struct ReplyAddress
-{
-  VmId vm_;
-  RequestId request_ = 0;
-};
-
-struct OwnedStatement
-{
-  ReplyAddress replyTo_;
-  wire::Statement statement_;
-  std::uint64_t term_ = 0;          // term of the view that routed it
-  LogPoint minPoint_;               //
-  Duration maxAge_{};               // reads
-  Time arrivedAt_;                  //
-  Time sentAt_;                     // to the upstream
-  Time ranUntil_;                   // when the upstream answered
-  Time deadline_;                   //
-  std::string trace_;               // traceparent of the sender's span
-  UpstreamAnswer answer_;           // once the upstream has answered
-  std::uint64_t transactionId_ = 0; // 0: none
-  int attempts_ = 0;                // times sent to the upstream
-};
+// ---- 1. Replies and times
 
 struct OwnerReply
 {
@@ -180,6 +157,7 @@
   void Requeue(std::uint64_t aId, Time aNow);
   ConnectionId FindIdle() const;
   std::size_t ConnectionLimit() const;
+  std::size_t TransactionLimit() const;
 
   wire::Upstream info_;
   VmId self_;
