--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -376,6 +376,12 @@
     const auto outcome = state_.OutcomeOf(aRequest);
     const bool over = outcome || aNow >= aPending.until_;
     if (over) {
+      if (outcome && !outcome->accepted()) {
+        aOut.push_back(ControlNote{ Event::RulesConflict,
+                                    fmt::format("request={} in_force={}",
+                                                aRequest,
+                                                outcome->version()) });
+      }
       for (const std::uint64_t id : aPending.operators_) {
         aOut.push_back(AnswerOperator{ id, outcome });
       }
@@ -510,6 +516,7 @@
   }
 }
 
+// Tells the log what is new since the last view.
 void
 ControlNode::NoteChanges(ControlActions& aOut)
 {
@@ -518,6 +525,7 @@
     aOut.push_back(ControlNote{ Event::RulesInForce,
                                 fmt::format("version={}", notedRules_) });
   }
+  std::map<ServerId, bool> servers; // true: leaving
   for (const auto& [name, database] : state_.Databases()) {
     std::uint64_t& noted = notedTerms_[name];
     if (database.primary_term() > noted) {
@@ -527,7 +535,36 @@
         fmt::format(
           "database={} server={} term={}", name, database.primary(), noted) });
     }
+    for (const auto& server : database.servers()) {
+      servers[server.server()] = server.leaving();
+    }
+  }
+  NoteServers(std::move(servers), aOut);
+}
+
+void
+ControlNode::NoteServers(std::map<ServerId, bool> aServers,
+                         ControlActions& aOut)
+{
+  const auto note = [&aOut](Event aEvent, const ServerId& aServer) {
+    aOut.push_back(ControlNote{ aEvent, fmt::format("server={}", aServer) });
+  };
+  for (const auto& [server, leaving] : aServers) {
+    const auto known = notedServers_.find(server);
+    if (known == notedServers_.end()) {
+      note(Event::UpstreamCame, server);
+    }
+    const bool left = known != notedServers_.end() && known->second;
+    if (leaving && !left) {
+      note(Event::UpstreamLeaving, server);
+    }
+  }
+  for (const auto& [server, leaving] : notedServers_) {
+    if (!aServers.contains(server)) {
+      note(Event::UpstreamGone, server);
+    }
   }
+  notedServers_ = std::move(aServers);
 }
 
 std::vector<VmView>
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -201,6 +201,7 @@
   void Finish(Time aNow, ControlActions& aOut);
   void PushDelta(std::uint64_t aFrom, ControlActions& aOut);
   void NoteChanges(ControlActions& aOut);
+  void NoteServers(std::map<ServerId, bool> aServers, ControlActions& aOut);
   FleetViewPtr BuildView() const;
 
   ControlConfig config_;
@@ -230,6 +231,7 @@
   std::optional<wire::ControlSnapshot> pendingSnapshot_;
   std::uint64_t published_ = 0; // index last pushed to others
   std::map<DatabaseId, std::uint64_t> notedTerms_;
+  std::map<ServerId, bool> notedServers_; // true: leaving
   std::uint64_t notedRules_ = 0;
   ControlCounters counters_;
 };
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -5,6 +5,7 @@
 #include "daemon/Clock.h"
 #include "daemon/Http.h"
 #include "daemon/Link.h"
+#include "daemon/LinkMessage.h"
 #include "daemon/Metrics.h"
 #include "daemon/VoterDisk.h"
 
@@ -244,17 +245,10 @@
 
   void TakeLink(std::string_view aBytes)
   {
-    wire::ControlMessage message;
-    const bool read =
-      message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
-    if (!read || message.to() != settings_.vm_) {
-      LogEvent(Event::LinkRefused,
-               "bytes={} from={}; check that both VMs run the same version",
-               aBytes.size(),
-               message.from());
-      return;
+    auto message = ReadLinkMessage<wire::ControlMessage>(aBytes, settings_.vm_);
+    if (message) {
+      Step(TakeControlMessage{ std::move(*message) });
     }
-    Step(TakeControlMessage{ std::move(message) });
   }
 
   // ---- Operators and upstreams
--- /dev/null
+++ b/daemon/LinkMessage.h
@@ -0,0 +1,31 @@
+#pragma once
+
+// Reads a message that came over a link.
+
+#include "base/Log.h"
+#include "base/Types.h"
+
+#include <optional>
+#include <string_view>
+
+namespace jaydoor {
+
+// None, with a note in the log, if the bytes are no message for this VM.
+template<typename Message>
+std::optional<Message>
+ReadLinkMessage(std::string_view aBytes, const VmId& aSelf)
+{
+  Message message;
+  const bool read =
+    message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
+  if (read && message.to() == aSelf) {
+    return message;
+  }
+  LogEvent(Event::LinkRefused,
+           "bytes={} from={}; check that both VMs run the same version",
+           aBytes.size(),
+           message.from());
+  return std::nullopt;
+}
+
+} // namespace jaydoor
--- a/daemon/TrafficShell.cpp
+++ b/daemon/TrafficShell.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/Clock.h"
 #include "daemon/Link.h"
+#include "daemon/LinkMessage.h"
 #include "daemon/Metrics.h"
 #include "daemon/TraceWriter.h"
 #include "wire/Json.h"
@@ -240,17 +241,10 @@
 
   void TakeLink(std::string_view aBytes)
   {
-    wire::TrafficMessage message;
-    const bool read =
-      message.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()));
-    if (!read || message.to() != settings_.vm_) {
-      LogEvent(Event::LinkRefused,
-               "bytes={} from={}; check that both VMs run the same version",
-               aBytes.size(),
-               message.from());
-      return;
+    auto message = ReadLinkMessage<wire::TrafficMessage>(aBytes, settings_.vm_);
+    if (message) {
+      Step(TakePeer{ std::move(*message) });
     }
-    Step(TakePeer{ std::move(message) });
   }
 
   void Perform(SendPeer& aAction)
