--- a/standin/Fleet.cpp
+++ b/standin/Fleet.cpp
@@ -105,6 +105,14 @@
   const std::string secret = WriteFile("operator-secret", secret_);
   const std::string keys =
     WriteFile("session-keys", "session-key-of-the-test-fleet");
+  std::vector<std::string> linkFlags{ "--plain-links", "on" };
+  if (config_.keys_) {
+    const std::string file = config_.folder_ + "/link-keys";
+    const pid_t maker =
+      Spawn({ config_.binaries_ + "/ctl/jaydoorctl", "keys" }, file);
+    waitpid(maker, nullptr, 0);
+    linkFlags = { "--link-key-file", file };
+  }
   std::string peers;
   std::string voters;
   for (std::size_t zone = 0; zone < config_.vmsPerZone_.size(); zone++) {
@@ -156,9 +164,9 @@
       keys,
       "--operator-secret-file",
       secret,
-      "--plain-links",
-      "on",
     };
+    member.arguments_.insert(
+      member.arguments_.end(), linkFlags.begin(), linkFlags.end());
     if (!member.dataPath_.empty()) {
       member.arguments_.insert(member.arguments_.end(),
                                { "--data-folder", member.dataPath_ });
--- a/standin/Fleet.h
+++ b/standin/Fleet.h
@@ -36,6 +36,7 @@
   int workUs_ = 1000;                // time of a statement
   int lagMs_ = 5;                    // of replication
   bool sync_ = true;                 // database logs are synced
+  bool keys_ = false;                // links between VMs prove the fleet's key
   bool relay_ = false;               // zones can be cut off
   Duration zoneDelay_{};             // between zones, one way, with a relay
   std::vector<std::string> vmFlags_; // added to each jaydoord
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -29,6 +29,7 @@
                      std::to_string(number++)))
                      .string();
   config.workUs_ = aWorkUs;
+  config.keys_ = true;
   return config;
 }
 
