Read once more: twins made one, dead members gone, a walk taken out of each view

No behaviour changes. Twins: one request on its own connection stood in jaydoorctl and in the test fleet (now CallAndWait); a queued item was filled in twice; the follower's reply of consensus twice; the name of a setting's variable twice; the lookup of an owner's watch twice; asking for a delta three times. Dead: members and functions that nothing read (a queued-at time, last answers, a joined flag, a router's wake, unused parameters). Notes of promotions were a pair of number and text, now the typed note they became. Wrong place: each new view walked all servers into a map to log what came and went, which a change of rules does not alter; a revision of the servers tells.

--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -330,8 +330,7 @@
   {
     deployment_ = &kDeployments[0];
     auto fleet = MakeFleet(100, 0us);
-    const auto readCpu = [&] { return CpuSecondsOf(fleet->Get("vm-a1").pid_); };
-    MeasureThroughput(*fleet, readCpu);
+    MeasureThroughput(*fleet);
     MeasureConnections(*fleet);
   }
 
@@ -569,8 +568,7 @@
   }
 
   // Stale reads at what one VM takes; all processor time of the four VMs.
-  template<typename ReadCpu>
-  void MeasureThroughput(Fleet& aFleet, ReadCpu)
+  void MeasureThroughput(Fleet& aFleet)
   {
     SetRules(aFleet, "stale work=old max_age=1s # bench\\n");
     const auto cpuOfAll = [&aFleet] {
--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -41,7 +41,6 @@
                 config_.membership_,
                 config_.seed_)
   , promoter_(config_.promoter_)
-  , random_(config_.seed_)
 {
   if (aDisk) {
     state_.Install(aDisk->snapshot_);
@@ -126,7 +125,7 @@
 }
 
 void
-ControlNode::PerformRaft(RaftActions aActions, Time, ControlActions& aOut)
+ControlNode::PerformRaft(RaftActions aActions, ControlActions& aOut)
 {
   for (auto& action : aActions) {
     if (auto* hard = std::get_if<SaveHardState>(&action)) {
@@ -154,7 +153,7 @@
   if (raft_ && raft_->IsLeader()) {
     RaftActions actions;
     raft_->Propose(aChange, aNow, actions);
-    PerformRaft(std::move(actions), aNow, aOut);
+    PerformRaft(std::move(actions), aOut);
     return;
   }
   wire::ControlMessage message;
@@ -175,15 +174,12 @@
   switch (message.body_case()) {
     case wire::ControlMessage::kProbe:
       NotePeerIndex(from, message.probe().applied(), aNow, aOut);
-      leaderHint_ = message.probe().leader().empty() ? leaderHint_
-                                                     : message.probe().leader();
+      NoteLeader(message.probe().leader());
       membership_.ReceiveProbe(from, message.probe(), aNow, sends);
       break;
     case wire::ControlMessage::kProbeReply:
       NotePeerIndex(from, message.probe_reply().applied(), aNow, aOut);
-      leaderHint_ = message.probe_reply().leader().empty()
-                      ? leaderHint_
-                      : message.probe_reply().leader();
+      NoteLeader(message.probe_reply().leader());
       membership_.ReceiveReply(from, message.probe_reply(), aNow, sends);
       break;
     case wire::ControlMessage::kDelta:
@@ -224,13 +220,30 @@
       if (raft_) {
         RaftActions actions;
         raft_->Receive(message, aNow, actions);
-        PerformRaft(std::move(actions), aNow, aOut);
+        PerformRaft(std::move(actions), aOut);
       }
       break;
   }
   SendAll(std::move(sends), aOut);
 }
 
+// Asks for what this VM lacks.
+void
+ControlNode::AskDelta(const VmId& aFrom, ControlActions& aOut)
+{
+  wire::ControlMessage message;
+  message.mutable_delta_request()->set_applied(state_.Index());
+  Send(aFrom, std::move(message), aOut);
+}
+
+void
+ControlNode::NoteLeader(const VoterId& aLeader)
+{
+  if (!aLeader.empty()) {
+    leaderHint_ = aLeader;
+  }
+}
+
 void
 ControlNode::NotePeerIndex(const VmId& aFrom,
                            std::uint64_t aIndex,
@@ -241,9 +254,7 @@
     return; // a voter takes its changes from the log
   }
   pullAt_ = aNow + kPullEvery;
-  wire::ControlMessage message;
-  message.mutable_delta_request()->set_applied(state_.Index());
-  Send(aFrom, std::move(message), aOut);
+  AskDelta(aFrom, aOut);
 }
 
 void
@@ -262,9 +273,7 @@
     aDelta.changes_size() > 0 &&
     aDelta.changes(aDelta.changes_size() - 1).index() > state_.Index();
   if (gap) {
-    wire::ControlMessage message;
-    message.mutable_delta_request()->set_applied(state_.Index());
-    Send(aFrom, std::move(message), aOut);
+    AskDelta(aFrom, aOut);
   }
 }
 
@@ -301,8 +310,8 @@
   for (auto& call : promoter_.TakeCalls()) {
     aOut.push_back(std::move(call));
   }
-  for (auto& [event, text] : promoter_.TakeNotes()) {
-    aOut.push_back(ControlNote{ static_cast<Event>(event), std::move(text) });
+  for (auto& note : promoter_.TakeNotes()) {
+    aOut.push_back(std::move(note));
   }
 }
 
@@ -436,10 +445,8 @@
   for (const auto& vm : config_.voterVms_) {
     Send(vm, ask, aOut);
   }
-  wire::ControlMessage pull;
-  pull.mutable_delta_request()->set_applied(state_.Index());
   for (const auto& vm : membership_.ChooseRandom(1)) {
-    Send(vm, pull, aOut);
+    AskDelta(vm, aOut);
   }
 }
 
@@ -525,7 +532,6 @@
     aOut.push_back(ControlNote{ Event::RulesInForce,
                                 fmt::format("version={}", notedRules_) });
   }
-  std::map<ServerId, bool> servers; // true: leaving
   for (const auto& [name, database] : state_.Databases()) {
     std::uint64_t& noted = notedTerms_[name];
     if (database.primary_term() > noted) {
@@ -535,21 +541,26 @@
         fmt::format(
           "database={} server={} term={}", name, database.primary(), noted) });
     }
-    for (const auto& server : database.servers()) {
-      servers[server.server()] = server.leaving();
-    }
   }
-  NoteServers(std::move(servers), aOut);
+  if (state_.ServersRevision() != notedRevision_) {
+    notedRevision_ = state_.ServersRevision();
+    NoteServers(aOut);
+  }
 }
 
 void
-ControlNode::NoteServers(std::map<ServerId, bool> aServers,
-                         ControlActions& aOut)
+ControlNode::NoteServers(ControlActions& aOut)
 {
+  std::map<ServerId, bool> servers; // true: leaving
+  for (const auto& [name, database] : state_.Databases()) {
+    for (const auto& server : database.servers()) {
+      servers[server.server()] = server.leaving();
+    }
+  }
   const auto note = [&aOut](Event aEvent, const ServerId& aServer) {
     aOut.push_back(ControlNote{ aEvent, fmt::format("server={}", aServer) });
   };
-  for (const auto& [server, leaving] : aServers) {
+  for (const auto& [server, leaving] : servers) {
     const auto known = notedServers_.find(server);
     if (known == notedServers_.end()) {
       note(Event::UpstreamCame, server);
@@ -560,11 +571,11 @@
     }
   }
   for (const auto& [server, leaving] : notedServers_) {
-    if (!aServers.contains(server)) {
+    if (!servers.contains(server)) {
       note(Event::UpstreamGone, server);
     }
   }
-  notedServers_ = std::move(aServers);
+  notedServers_ = std::move(servers);
 }
 
 std::vector<VmView>
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -84,12 +84,6 @@
   std::optional<wire::RuleOutcome> outcome_; // none: not known yet; resend
 };
 
-struct ControlNote
-{
-  Event event_ = Event::Started;
-  std::string text_;
-};
-
 // Saves are synced before a later message is sent.
 using ControlAction = std::variant<SaveHardState,
                                    SaveEntries,
@@ -175,7 +169,7 @@
             ControlActions& aOut);
   void SendAll(std::vector<SendVm> aMessages, ControlActions& aOut);
   void SendToLeader(const wire::ControlMessage& aMessage, ControlActions& aOut);
-  void PerformRaft(RaftActions aActions, Time aNow, ControlActions& aOut);
+  void PerformRaft(RaftActions aActions, ControlActions& aOut);
   void Propose(const wire::Change& aChange, Time aNow, ControlActions& aOut);
   bool MayDecide(Time aNow) const;
 
@@ -189,8 +183,10 @@
   void TickPending(Time aNow, ControlActions& aOut);
   void TickProof(Time aNow, ControlActions& aOut);
   void TickGone(Time aNow);
-  void MoveSnapshot(Time aNow, ControlActions& aOut);
+  void MoveSnapshot(ControlActions& aOut);
 
+  void AskDelta(const VmId& aFrom, ControlActions& aOut);
+  void NoteLeader(const VoterId& aLeader);
   void TakeDelta(const VmId& aFrom,
                  const wire::Delta& aDelta,
                  ControlActions& aOut);
@@ -201,7 +197,7 @@
   void Finish(Time aNow, ControlActions& aOut);
   void PushDelta(std::uint64_t aFrom, ControlActions& aOut);
   void NoteChanges(ControlActions& aOut);
-  void NoteServers(std::map<ServerId, bool> aServers, ControlActions& aOut);
+  void NoteServers(ControlActions& aOut);
   FleetViewPtr BuildView() const;
 
   ControlConfig config_;
@@ -210,7 +206,6 @@
   Promoter promoter_;
   OwnerMap owners_; // of the live VMs
   std::optional<Raft> raft_;
-  std::mt19937_64 random_;
 
   std::map<std::string, PendingRules> rules_; // by request
   std::map<ServerId, PendingUpstream> upstreams_;
@@ -231,6 +226,7 @@
   std::optional<wire::ControlSnapshot> pendingSnapshot_;
   std::uint64_t published_ = 0; // index last pushed to others
   std::map<DatabaseId, std::uint64_t> notedTerms_;
+  std::uint64_t notedRevision_ = 0;       // of the servers
   std::map<ServerId, bool> notedServers_; // true: leaving
   std::uint64_t notedRules_ = 0;
   ControlCounters counters_;
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -50,7 +50,7 @@
   }
   RaftActions actions;
   raft_->Found(voters, actions);
-  PerformRaft(std::move(actions), aNow, aOut);
+  PerformRaft(std::move(actions), aOut);
   aOut.push_back(ControlNote{ Event::DiskFounded,
                               fmt::format("voters={}", voters.voters_size()) });
   hello.mutable_founding()->set_blank(false);
@@ -79,7 +79,7 @@
     } else if (named) {
       RaftActions actions;
       raft_->Found(founding.voters(), actions);
-      PerformRaft(std::move(actions), aNow, aOut);
+      PerformRaft(std::move(actions), aOut);
     }
     return;
   }
@@ -133,7 +133,7 @@
   }
   RaftActions actions;
   raft_->Tick(aNow, actions);
-  PerformRaft(std::move(actions), aNow, aOut);
+  PerformRaft(std::move(actions), aOut);
   if (raft_->IsLeader() != wasLeader_) {
     wasLeader_ = raft_->IsLeader();
     promoter_.Reset();
@@ -153,13 +153,13 @@
       ControlNote{ Event::VoterReplaced, fmt::format("voter={}", *ready) });
     Propose(change, aNow, aOut);
   }
-  MoveSnapshot(aNow, aOut);
+  MoveSnapshot(aOut);
 }
 
 // A snapshot is filed once the log has moved on a little, so that followers
 // that are only a little behind need entries and not the snapshot.
 void
-ControlNode::MoveSnapshot(Time aNow, ControlActions& aOut)
+ControlNode::MoveSnapshot(ControlActions& aOut)
 {
   const std::uint64_t index = state_.Index();
   if (!pendingSnapshot_ && index >= raft_->SnapshotIndex() + kSnapshotEvery) {
@@ -173,7 +173,7 @@
     Event::SnapshotTaken, fmt::format("index={}", pendingSnapshot_->index()) });
   raft_->Compact(std::move(*pendingSnapshot_), actions);
   pendingSnapshot_.reset();
-  PerformRaft(std::move(actions), aNow, aOut);
+  PerformRaft(std::move(actions), aOut);
 }
 
 } // namespace jaydoor
--- a/control/ControlState.cpp
+++ b/control/ControlState.cpp
@@ -97,6 +97,7 @@
 void
 ControlState::ApplyUpstream(const wire::UpstreamChange& aChange)
 {
+  serversRevision_++;
   const wire::Upstream& info = aChange.upstream();
   const auto known = servers_.find(info.server());
   if (known != servers_.end()) {
@@ -154,6 +155,7 @@
   rules_.assign(aSnapshot.rules().begin(), aSnapshot.rules().end());
   databases_.clear();
   servers_.clear();
+  serversRevision_++;
   for (const auto& database : aSnapshot.databases()) {
     databases_[database.name()] = database;
     for (const auto& server : database.servers()) {
--- a/control/ControlState.h
+++ b/control/ControlState.h
@@ -36,6 +36,8 @@
   bool ApplyDelta(const wire::Delta& aDelta);
 
   std::uint64_t Index() const { return index_; }
+  // Changes whenever a server comes, goes or describes itself anew.
+  std::uint64_t ServersRevision() const { return serversRevision_; }
   std::uint64_t RulesVersion() const;
   const std::string& RulesText() const;
   const std::deque<wire::RuleVersion>& RulesHistory() const { return rules_; }
@@ -63,6 +65,7 @@
   Rules parsed_;                        // of the newest version
   std::map<DatabaseId, wire::Database> databases_;
   std::map<ServerId, DatabaseId> servers_;
+  std::uint64_t serversRevision_ = 0;
   std::deque<wire::RuleOutcome> outcomes_;             // oldest first
   std::map<std::string, wire::RuleOutcome> outcomeOf_; // by request
   wire::VoterSet voters_;
--- a/control/Membership.cpp
+++ b/control/Membership.cpp
@@ -283,7 +283,6 @@
                          Time aNow,
                          std::vector<SendVm>& aOut)
 {
-  joined_ = true;
   const bool whole = aReply.news_size() > static_cast<int>(kNewsPerMessage) + 1;
   for (const auto& news : aReply.news()) {
     TakeNews(news, aNow);
--- a/control/Membership.h
+++ b/control/Membership.h
@@ -77,8 +77,6 @@
   std::vector<VmId> ChooseRandom(std::size_t aCount);
   // Changes since the last call.
   std::vector<MemberChange> TakeChanges();
-  // Answered once by another VM since the start, or nobody else is known.
-  bool HasJoined() const { return joined_ || seeds_.empty(); }
   Duration Interval() const;
 
 private:
@@ -124,7 +122,6 @@
   std::uint64_t sequence_ = 1;
   Time nextProbe_;
   Time nextSeed_;
-  bool joined_ = false;
 };
 
 } // namespace jaydoor
--- a/control/Promoter.cpp
+++ b/control/Promoter.cpp
@@ -1,7 +1,6 @@
 #include "control/Promoter.h"
 
 #include "base/Erase.h"
-#include "base/Log.h"
 
 #include <algorithm>
 #include <utility>
@@ -19,12 +18,6 @@
   return ControlState::GroupSize(aDatabase) / 2 + 1;
 }
 
-int
-NumberOf(Event aEvent)
-{
-  return static_cast<int>(aEvent);
-}
-
 } // namespace
 
 Promoter::Promoter(PromoterTiming aTiming)
@@ -53,7 +46,7 @@
   return std::exchange(proposals_, {});
 }
 
-std::vector<std::pair<int, std::string>>
+std::vector<ControlNote>
 Promoter::TakeNotes()
 {
   return std::exchange(notes_, {});
@@ -119,11 +112,11 @@
       promotion.startedAt_ = aNow;
       promotion.phaseAt_ = aNow;
       promotion.term_ = database.reserved_term() + 1;
-      notes_.emplace_back(NumberOf(Event::PromotionStarted),
-                          fmt::format("database={} term={} primary_was={}",
-                                      name,
-                                      promotion.term_,
-                                      database.primary()));
+      notes_.push_back({ Event::PromotionStarted,
+                         fmt::format("database={} term={} primary_was={}",
+                                     name,
+                                     promotion.term_,
+                                     database.primary()) });
     }
     const auto found = promotions_.find(name);
     if (found != promotions_.end()) {
@@ -162,11 +155,11 @@
     SetPhase(aPromotion, Phase::Reserving, aNow);
   }
   if (aNow - aPromotion.startedAt_ >= kStalledAfter) {
-    notes_.emplace_back(NumberOf(Event::PromotionStalled),
-                        fmt::format("database={} term={} sealed={}",
-                                    aDatabase.name(),
-                                    aPromotion.term_,
-                                    aPromotion.sealed_.size()));
+    notes_.push_back({ Event::PromotionStalled,
+                       fmt::format("database={} term={} sealed={}",
+                                   aDatabase.name(),
+                                   aPromotion.term_,
+                                   aPromotion.sealed_.size()) });
     aPromotion.startedAt_ = aNow;
   }
   switch (aPromotion.phase_) {
--- a/control/Promoter.h
+++ b/control/Promoter.h
@@ -12,6 +12,7 @@
 // sealed server takes no more writes of an earlier term: so the promoted
 // server holds all that was acknowledged, and nobody else can acknowledge.
 
+#include "base/Log.h"
 #include "control/ControlState.h"
 #include "control/FleetView.h"
 #include "wire/Json.h"
@@ -31,6 +32,13 @@
   Duration proposeRetry_ = 500ms;
 };
 
+// A line for the log.
+struct ControlNote
+{
+  Event event_ = Event::Started;
+  std::string text_;
+};
+
 // A call to an upstream, on a connection of its own.
 struct CallUpstream
 {
@@ -62,8 +70,7 @@
 
   std::vector<CallUpstream> TakeCalls();
   std::vector<wire::Change> TakeProposals();
-  // Lines for the log: event and text.
-  std::vector<std::pair<int, std::string>> TakeNotes();
+  std::vector<ControlNote> TakeNotes();
 
 private:
   struct Report
@@ -135,7 +142,7 @@
   std::uint64_t nextCall_ = 1;
   std::vector<CallUpstream> out_;
   std::vector<wire::Change> proposals_;
-  std::vector<std::pair<int, std::string>> notes_;
+  std::vector<ControlNote> notes_;
 };
 
 } // namespace jaydoor
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -511,9 +511,7 @@
                     Time aNow,
                     RaftActions& aOut)
 {
-  auto message = MakeMessage();
-  auto& reply = *message.mutable_append_reply();
-  reply.set_sent_us(aRequest.sent_us());
+  wire::AppendReply reply;
   if (AcceptLeader(aFrom, aRequest.term(), aNow, aOut)) {
     const bool matched = StoreEntries(aRequest, aOut);
     reply.set_matched(matched);
@@ -529,8 +527,20 @@
         commit_, aRequest.prev_index() == 0 ? 0 : aRequest.prev_index() - 1));
     }
   }
-  reply.set_term(hard_.term());
-  aOut.push_back(SendVoter{ aFrom, std::move(message) });
+  SendReply(aFrom, reply, aRequest.sent_us(), aOut);
+}
+
+void
+Raft::SendReply(const VoterId& aTo,
+                wire::AppendReply aReply,
+                std::int64_t aSentUs,
+                RaftActions& aOut) const
+{
+  aReply.set_term(hard_.term());
+  aReply.set_sent_us(aSentUs);
+  auto message = MakeMessage();
+  *message.mutable_append_reply() = std::move(aReply);
+  aOut.push_back(SendVoter{ aTo, std::move(message) });
 }
 
 // False if the log does not contain the entry before the new ones.
@@ -571,9 +581,7 @@
                       Time aNow,
                       RaftActions& aOut)
 {
-  auto message = MakeMessage();
-  auto& reply = *message.mutable_append_reply();
-  reply.set_sent_us(aRequest.sent_us());
+  wire::AppendReply reply;
   if (AcceptLeader(aFrom, aRequest.term(), aNow, aOut)) {
     const auto& snapshot = aRequest.snapshot();
     const bool newer = snapshot.index() > commit_ || IsBlank();
@@ -588,8 +596,7 @@
     reply.set_matched(true);
     reply.set_match_index(std::min(commit_, snapshot.index()));
   }
-  reply.set_term(hard_.term());
-  aOut.push_back(SendVoter{ aFrom, std::move(message) });
+  SendReply(aFrom, reply, aRequest.sent_us(), aOut);
 }
 
 void
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -174,6 +174,10 @@
                        const wire::SnapshotRequest& aRequest,
                        Time aNow,
                        RaftActions& aOut);
+  void SendReply(const VoterId& aTo,
+                 wire::AppendReply aReply,
+                 std::int64_t aSentUs,
+                 RaftActions& aOut) const;
   bool AcceptLeader(const VoterId& aFrom,
                     std::uint64_t aTerm,
                     Time aNow,
--- a/ctl/jaydoorctl_main.cpp
+++ b/ctl/jaydoorctl_main.cpp
@@ -18,8 +18,6 @@
 #include <random>
 #include <sstream>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -69,19 +67,8 @@
 HttpAnswer
 Ask(const Options& aOptions, const std::string& aPath, const std::string& aBody)
 {
-  boost::asio::io_context context(1);
-  HttpAnswer answer;
-  HttpCaller caller(context, aOptions.host_, aOptions.port_);
-  boost::asio::co_spawn(
-    context,
-    [&]() -> boost::asio::awaitable<void> {
-      answer = co_await caller.Call(aPath, aBody, kLimit, aOptions.secret_);
-      caller.Close();
-      context.stop();
-    },
-    boost::asio::detached);
-  context.run();
-  return answer;
+  return CallAndWait(
+    aOptions.host_, aOptions.port_, aPath, aBody, kLimit, aOptions.secret_);
 }
 
 json::object
--- a/daemon/Http.cpp
+++ b/daemon/Http.cpp
@@ -305,7 +305,6 @@
           return;
         }
         SetSocketOptions(self->stream_.socket());
-        self->open_ = true;
         if (!self->closed_) {
           self->events_.opened_();
           self->Watch();
@@ -410,7 +409,6 @@
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
-  bool open_ = false;
   bool busy_ = false; // a request has no answer yet
   bool closed_ = false;
 };
@@ -563,4 +561,27 @@
   impl_->Close();
 }
 
+HttpAnswer
+CallAndWait(const std::string& aHost,
+            std::uint16_t aPort,
+            const std::string& aPath,
+            const std::string& aBody,
+            Duration aLimit,
+            const std::string& aSecret)
+{
+  asio::io_context context(1);
+  HttpAnswer answer;
+  HttpCaller caller(context, aHost, aPort);
+  asio::co_spawn(
+    context,
+    [&]() -> asio::awaitable<void> {
+      answer = co_await caller.Call(aPath, aBody, aLimit, aSecret);
+      caller.Close();
+      context.stop();
+    },
+    asio::detached);
+  context.run();
+  return answer;
+}
+
 } // namespace jaydoor
--- a/daemon/Http.h
+++ b/daemon/Http.h
@@ -148,4 +148,13 @@
   std::shared_ptr<Impl> impl_;
 };
 
+// One request on a connection of its own; blocks until it is over.
+HttpAnswer
+CallAndWait(const std::string& aHost,
+            std::uint16_t aPort,
+            const std::string& aPath,
+            const std::string& aBody,
+            Duration aLimit,
+            const std::string& aSecret);
+
 } // namespace jaydoor
--- a/daemon/Metrics.cpp
+++ b/daemon/Metrics.cpp
@@ -82,8 +82,8 @@
     AppendMetric(text, aName, "", static_cast<double>(aValue));
   };
   add("jaydoor_statements_total", counters.statements_);
-  add("jaydoor_replica_answers_total", counters.replicaReads_);
-  add("jaydoor_primary_answers_total", counters.primaryReads_);
+  add("jaydoor_replica_answers_total", counters.replicaAnswers_);
+  add("jaydoor_primary_answers_total", counters.primaryAnswers_);
   add("jaydoor_forwards_out_total", counters.forwardsOut_);
   add("jaydoor_forwards_in_total", counters.forwardsIn_);
   add("jaydoor_upstream_calls_total", counters.upstreamCalls_);
--- a/daemon/Settings.cpp
+++ b/daemon/Settings.cpp
@@ -56,6 +56,16 @@
   Flag{ "rules", "rules file to verify together with --check", "" },
 };
 
+std::string
+VariableOf(std::string_view aFlag)
+{
+  std::string name = "JAYDOOR_";
+  for (const char letter : aFlag) {
+    name += letter == '-' ? '_' : static_cast<char>(std::toupper(letter));
+  }
+  return name;
+}
+
 // The values by flag name, and the first problem met.
 class Values
 {
@@ -125,11 +135,6 @@
   void Fail(const std::string& aName, std::string_view aAllowed)
   {
     if (!error_) {
-      std::string variable = "JAYDOOR_" + aName;
-      std::transform(
-        variable.begin(), variable.end(), variable.begin(), [](char aChar) {
-          return aChar == '-' ? '_' : static_cast<char>(std::toupper(aChar));
-        });
       error_ = Error{ ErrorKind::BadSetting,
                       fmt::format("--{} is '{}': allowed is {}; give --{} or "
                                   "set {} and start again",
@@ -137,7 +142,7 @@
                                   Text(aName),
                                   aAllowed,
                                   aName,
-                                  variable) };
+                                  VariableOf(aName)) };
     }
   }
 
@@ -148,16 +153,6 @@
   std::optional<Error> error_;
 };
 
-std::string
-VariableOf(std::string_view aFlag)
-{
-  std::string name = "JAYDOOR_";
-  for (const char letter : aFlag) {
-    name += letter == '-' ? '_' : static_cast<char>(std::toupper(letter));
-  }
-  return name;
-}
-
 // "id=ip:control:traffic"
 std::optional<wire::Vm>
 ParsePeer(const std::string& aText)
--- a/standin/Fleet.cpp
+++ b/standin/Fleet.cpp
@@ -12,8 +12,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -352,19 +350,7 @@
            const std::string& aBody,
            Duration aLimit) const
 {
-  boost::asio::io_context context(1);
-  HttpAnswer answer;
-  HttpCaller caller(context, Get(aVm).host_, aPort);
-  boost::asio::co_spawn(
-    context,
-    [&]() -> boost::asio::awaitable<void> {
-      answer = co_await caller.Call(aPath, aBody, aLimit, secret_);
-      caller.Close();
-      context.stop();
-    },
-    boost::asio::detached);
-  context.run();
-  return answer;
+  return CallAndWait(Get(aVm).host_, aPort, aPath, aBody, aLimit, secret_);
 }
 
 CallerAnswer
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -20,7 +20,6 @@
   item.rank_ = aRank;
   item.customer_ = std::move(aCustomer);
   item.deadline_ = kStart + aLeft;
-  item.queuedAt_ = kStart;
   return item;
 }
 
--- a/traffic/GroupWatch.cpp
+++ b/traffic/GroupWatch.cpp
@@ -246,13 +246,6 @@
   return found == members_.end() || found->second.probe_.IsUnreachable();
 }
 
-Time
-GroupWatch::LastAnswer(const ServerId& aServer) const
-{
-  const auto found = members_.find(aServer);
-  return found == members_.end() ? Time{} : found->second.probe_.LastAnswer();
-}
-
 bool
 GroupWatch::IsPrimarySuspect() const
 {
--- a/traffic/GroupWatch.h
+++ b/traffic/GroupWatch.h
@@ -55,8 +55,6 @@
   // Last known log point of a server; zero if it has not answered yet.
   LogPoint PointOf(const ServerId& aServer) const;
   bool IsUnreachable(const ServerId& aServer) const;
-  // Last answer of a server, on a status connection.
-  Time LastAnswer(const ServerId& aServer) const;
 
   // Suspicion of the primary to report, if it has changed since the last
   // report or is due again.
--- a/traffic/RankQueue.h
+++ b/traffic/RankQueue.h
@@ -33,7 +33,6 @@
   std::string customer_; //
   double weight_ = 1;    // the customer's share
   Time deadline_;        // has to be answered by
-  Time queuedAt_;        //
 };
 
 struct RefusedItem
@@ -75,7 +74,6 @@
 
   std::size_t Size() const { return positions_.size(); }
   std::size_t SizeOf(Rank aRank) const;
-  Duration ServiceTime() const { return service_; }
 
 private:
   // One customer's items of one rank, by deadline.
--- a/traffic/StatementRouter.cpp
+++ b/traffic/StatementRouter.cpp
@@ -559,13 +559,6 @@
   }
 }
 
-Time
-StatementRouter::NextWake() const
-{
-  // All of its time limits are tens of milliseconds and more.
-  return Time::max();
-}
-
 // ---- Traces
 
 std::string
--- a/traffic/StatementRouter.h
+++ b/traffic/StatementRouter.h
@@ -60,7 +60,6 @@
   // The forward could not be sent: proof that it did not run.
   void TakeUnsent(RequestId aForward, Time aNow);
   void Tick(Time aNow);
-  Time NextWake() const;
 
   std::vector<ForwardOut> TakeForwards();
   std::vector<CancelOut> TakeCancels();
--- a/traffic/StatusProbe.cpp
+++ b/traffic/StatusProbe.cpp
@@ -96,7 +96,6 @@
   const Time sentAt = since_;
   state_ = State::Idle;
   since_ = aNow;
-  lastAnswer_ = aNow;
   fresh_ = false;
   unreachable_ = false;
   return sentAt;
--- a/traffic/StatusProbe.h
+++ b/traffic/StatusProbe.h
@@ -47,7 +47,6 @@
 
   ConnectionId Connection() const { return connection_; }
   bool IsUnreachable() const { return unreachable_; }
-  Time LastAnswer() const { return lastAnswer_; }
 
 private:
   enum class State : std::uint8_t
@@ -69,7 +68,6 @@
   ConnectionId connection_ = 0; // 0: none
   Time since_;                  // when the state was entered
   Time notBefore_;              // when a connection may be opened
-  Time lastAnswer_;             //
   bool hurry_ = false;          // ask at the next Tick
   bool fresh_ = false;          // the connection has answered nothing yet
   bool unreachable_ = false;    // a fresh connection failed as well
--- a/traffic/TrafficNode.cpp
+++ b/traffic/TrafficNode.cpp
@@ -263,11 +263,16 @@
         .first;
     statement.statement_.set_rank(0);
   }
+  found->second.Accept(std::move(statement), aNow, WatchOf(found->second));
+}
+
+// One that has proven nothing where the database is not watched.
+const GroupWatch&
+TrafficNode::WatchOf(const UpstreamOwner& aOwner) const
+{
   static const GroupWatch kNoWatch("", ProbeTiming{});
-  const auto watch = watches_.find(found->second.Info().database());
-  found->second.Accept(std::move(statement),
-                       aNow,
-                       watch == watches_.end() ? kNoWatch : watch->second);
+  const auto watch = watches_.find(aOwner.Info().database());
+  return watch == watches_.end() ? kNoWatch : watch->second;
 }
 
 bool
@@ -283,11 +288,8 @@
 void
 TrafficNode::TickOwners(Time aNow, TrafficActions& aOut)
 {
-  static const GroupWatch kNoWatch("", ProbeTiming{});
   for (auto& [id, owner] : owners_) {
-    const auto watch = watches_.find(owner.Info().database());
-    owner.Tick(
-      aNow, watch == watches_.end() ? kNoWatch : watch->second, ids_, aOut);
+    owner.Tick(aNow, WatchOf(owner), ids_, aOut);
   }
   for (auto& [database, watch] : watches_) {
     watch.Tick(aNow, WantsProof(database), ids_, aOut);
@@ -369,12 +371,11 @@
 TrafficNode::SendReply(OwnerReply& aReply, Time aNow, TrafficActions& aOut)
 {
   EmitOwnerSpans(aReply, aNow, aOut);
+  CountAnswer(aReply.reply_);
   if (aReply.to_.vm_ == config_.self_) {
-    CountRead(aReply.reply_.server(), aReply.reply_);
     router_.TakeReply(aReply.reply_, aNow);
     return;
   }
-  CountRead(aReply.reply_.server(), aReply.reply_);
   SendPeer send;
   send.to_ = aReply.to_.vm_;
   *send.message_.mutable_reply() = std::move(aReply.reply_);
@@ -382,18 +383,18 @@
 }
 
 void
-TrafficNode::CountRead(const ServerId& aServer,
-                       const wire::ForwardReply& aReply)
+TrafficNode::CountAnswer(const wire::ForwardReply& aReply)
 {
-  const auto found = view_->servers_.find(aServer);
+  const ServerId& server = aReply.server();
+  const auto found = view_->servers_.find(server);
   const bool done = aReply.outcome() == static_cast<unsigned>(Outcome::Done);
   if (!done || found == view_->servers_.end()) {
     return;
   }
   const auto group = view_->databases_.find(found->second.info_.database());
   const bool primary =
-    group != view_->databases_.end() && group->second.primary_ == aServer;
-  (primary ? counters_.primaryReads_ : counters_.replicaReads_)++;
+    group != view_->databases_.end() && group->second.primary_ == server;
+  (primary ? counters_.primaryAnswers_ : counters_.replicaAnswers_)++;
 }
 
 void
--- a/traffic/TrafficNode.h
+++ b/traffic/TrafficNode.h
@@ -105,8 +105,8 @@
 struct TrafficCounters
 {
   std::uint64_t statements_ = 0;
-  std::uint64_t replicaReads_ = 0; // answered by a replica
-  std::uint64_t primaryReads_ = 0;
+  std::uint64_t replicaAnswers_ = 0; // statements done by a replica
+  std::uint64_t primaryAnswers_ = 0;
   std::uint64_t forwardsOut_ = 0; // to other VMs
   std::uint64_t forwardsIn_ = 0;
   std::uint64_t upstreamCalls_ = 0;
@@ -150,7 +150,8 @@
   void TickOwners(Time aNow, TrafficActions& aOut);
   bool PassOn(Time aNow, TrafficActions& aOut);
   void SendReply(OwnerReply& aReply, Time aNow, TrafficActions& aOut);
-  void CountRead(const ServerId& aServer, const wire::ForwardReply& aReply);
+  void CountAnswer(const wire::ForwardReply& aReply);
+  const GroupWatch& WatchOf(const UpstreamOwner& aOwner) const;
   void PaceWatches();
   void AskOtherWatchers(const wire::Suspicion& aSuspicion,
                         TrafficActions& aOut);
--- a/traffic/UpstreamOwner.cpp
+++ b/traffic/UpstreamOwner.cpp
@@ -119,6 +119,19 @@
   return false;
 }
 
+QueuedItem
+UpstreamOwner::MakeItem(std::uint64_t aId,
+                        const OwnedStatement& aStatement) const
+{
+  QueuedItem item;
+  item.id_ = aId;
+  item.rank_ = static_cast<Rank>(aStatement.statement_.rank());
+  item.customer_ = aStatement.statement_.customer();
+  item.weight_ = rules_.WeightOf(item.customer_);
+  item.deadline_ = aStatement.deadline_;
+  return item;
+}
+
 void
 UpstreamOwner::Accept(OwnedStatement aStatement,
                       Time aNow,
@@ -147,14 +160,7 @@
     return;
   }
   const std::uint64_t id = nextId_++;
-  QueuedItem item;
-  item.id_ = id;
-  item.rank_ = static_cast<Rank>(aStatement.statement_.rank());
-  item.customer_ = aStatement.statement_.customer();
-  item.weight_ = rules_.WeightOf(item.customer_);
-  item.deadline_ = aStatement.deadline_;
-  item.queuedAt_ = aNow;
-  const auto full = queue_.Push(std::move(item), aNow);
+  const auto full = queue_.Push(MakeItem(id, aStatement), aNow);
   if (full) {
     Reply(aStatement, Outcome::NotRun, *full, aNow);
     return;
@@ -320,14 +326,7 @@
 UpstreamOwner::Requeue(std::uint64_t aId, Time aNow)
 {
   const OwnedStatement& statement = statements_.at(aId);
-  QueuedItem item;
-  item.id_ = aId;
-  item.rank_ = static_cast<Rank>(statement.statement_.rank());
-  item.customer_ = statement.statement_.customer();
-  item.weight_ = rules_.WeightOf(item.customer_);
-  item.deadline_ = statement.deadline_;
-  item.queuedAt_ = statement.arrivedAt_;
-  const auto refused = queue_.Push(std::move(item), aNow);
+  const auto refused = queue_.Push(MakeItem(aId, statement), aNow);
   if (refused) {
     const Outcome outcome =
       statement.attempts_ > 0 ? Outcome::Unknown : Outcome::NotRun;
--- a/traffic/UpstreamOwner.h
+++ b/traffic/UpstreamOwner.h
@@ -114,7 +114,6 @@
     ConnectionId connection_ = 0;
     Time usedAt_;
     bool busy_ = false; // a statement of it is queued or running
-    LogPoint lastPoint_;
   };
 
   bool IsTransactionStep(const OwnedStatement& aStatement) const;
@@ -123,6 +122,8 @@
   std::optional<Reason> FindRefusal(const OwnedStatement& aStatement,
                                     const GroupWatch& aWatch,
                                     Time aNow) const;
+  QueuedItem MakeItem(std::uint64_t aId,
+                      const OwnedStatement& aStatement) const;
   bool AttachTransaction(OwnedStatement& aStatement);
   void Reply(const OwnedStatement& aStatement,
              Outcome aOutcome,
--- a/traffic/UpstreamOwnerTick.cpp
+++ b/traffic/UpstreamOwnerTick.cpp
@@ -257,7 +257,7 @@
     const OwnedStatement& statement = statements_.at(item->id_);
     if (StepOf(statement) == TransactionStep::Begin) {
       const std::uint64_t transaction = aIds.Next();
-      transactions_[transaction] = { id, aNow, true, {} };
+      transactions_[transaction] = { id, aNow, true };
       connection.transaction_ = transaction;
       statements_.at(item->id_).transactionId_ = transaction;
     }
