--- a/base/Log.cpp
+++ b/base/Log.cpp
@@ -1,24 +1,106 @@
 #include "base/Log.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <fcntl.h>
+#include <mutex>
+#include <string>
+#include <utility>
 
 #include <fmt/chrono.h>
 
 namespace jaydoor {
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
+constexpr double kLinesPerSecond = 400; // of each class of events
+constexpr double kLinesAtOnce = 800;
+constexpr std::size_t kMaxBuffered = 256UL * 1024; // bytes not yet written
+constexpr auto kReportDropped = std::chrono::seconds(1);
+
 std::atomic<Level> gLevel{ Level::Info };
 
+// Lines that wait for a reader, and what had to be dropped. Nobody waits for
+// the reader: a full buffer drops lines.
+struct LogBuffer
+{
+  std::mutex mutex_;
+  int output_ = STDERR_FILENO;
+  bool buffered_ = false;
+  std::string bytes_;
+  std::array<double, 2> tokens_{ kLinesAtOnce, kLinesAtOnce }; // by class
+  Clock::time_point filledAt_ = Clock::now();
+  std::uint64_t dropped_ = 0; // since the last report
+  std::uint64_t droppedAll_ = 0;
+  Clock::time_point reportedAt_ = Clock::now();
+};
+
+LogBuffer&
+Buffer()
+{
+  static LogBuffer buffer;
+  return buffer;
+}
+
+// Routine lines have a budget of their own, so that they crowd out no others.
+std::size_t
+ClassOf(Event aEvent)
+{
+  return aEvent == Event::StatementDone || aEvent == Event::StatementRouted ? 1
+                                                                            : 0;
+}
+
+bool
+TakeToken(LogBuffer& aBuffer, Event aEvent, Clock::time_point aNow)
+{
+  const double seconds =
+    std::chrono::duration<double>(aNow - aBuffer.filledAt_).count();
+  aBuffer.filledAt_ = aNow;
+  for (double& tokens : aBuffer.tokens_) {
+    tokens = std::min(kLinesAtOnce, tokens + seconds * kLinesPerSecond);
+  }
+  double& tokens = aBuffer.tokens_.at(ClassOf(aEvent));
+  if (tokens < 1) {
+    return false;
+  }
+  tokens -= 1;
+  return true;
+}
+
+// Writes what the reader takes now.
+void
+WriteOut(LogBuffer& aBuffer)
+{
+  std::size_t written = 0;
+  while (written < aBuffer.bytes_.size()) {
+    const ssize_t count = write(aBuffer.output_,
+                                aBuffer.bytes_.data() + written,
+                                aBuffer.bytes_.size() - written);
+    if (count <= 0) {
+      break; // it is kept until the next time, or dropped when it is too much
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  aBuffer.bytes_.erase(0, written);
+}
+
 constexpr std::array kLevelNames = { "debug", "info", "warning", "error" };
 
 constexpr std::array kEvents = {
   EventInfo{ Event::Started, Level::Info, "started" },
   EventInfo{ Event::Stopping, Level::Info, "stopping" },
   EventInfo{ Event::Stopped, Level::Info, "stopped" },
+  EventInfo{ Event::Reloaded, Level::Info, "reloaded" },
+  EventInfo{ Event::ReloadRefused, Level::Error, "reload_refused" },
+  EventInfo{ Event::ReadinessChanged, Level::Info, "readiness_changed" },
   EventInfo{ Event::SettingRefused, Level::Error, "setting_refused" },
   EventInfo{ Event::RulesFileRefused, Level::Error, "rules_file_refused" },
   EventInfo{ Event::DiskFailed, Level::Error, "disk_failed" },
@@ -28,8 +110,12 @@
   EventInfo{ Event::LeaderLost, Level::Warning, "leader_lost" },
   EventInfo{ Event::VoterReplaced, Level::Warning, "voter_replaced" },
   EventInfo{ Event::SnapshotTaken, Level::Info, "snapshot_taken" },
+  EventInfo{ Event::VoterRemoved, Level::Warning, "voter_removed" },
   EventInfo{ Event::RulesInForce, Level::Info, "rules_in_force" },
   EventInfo{ Event::RulesConflict, Level::Warning, "rules_conflict" },
+  EventInfo{ Event::DocumentInForce, Level::Info, "document_in_force" },
+  EventInfo{ Event::DocumentRefused, Level::Warning, "document_refused" },
+  EventInfo{ Event::DocumentAccepted, Level::Info, "document_accepted" },
   EventInfo{ Event::VmJoined, Level::Info, "vm_joined" },
   EventInfo{ Event::VmSuspected, Level::Warning, "vm_suspected" },
   EventInfo{ Event::VmDead, Level::Warning, "vm_dead" },
@@ -40,11 +126,29 @@
   EventInfo{ Event::PromotionStarted, Level::Warning, "promotion_started" },
   EventInfo{ Event::PrimaryChanged, Level::Info, "primary_changed" },
   EventInfo{ Event::PromotionStalled, Level::Warning, "promotion_stalled" },
+  EventInfo{ Event::PromotionAnswered, Level::Info, "promotion_answered" },
+  EventInfo{ Event::PromotionFinished, Level::Info, "promotion_finished" },
+  EventInfo{ Event::LeaseRevoked, Level::Info, "lease_revoked" },
+  EventInfo{ Event::LeaseReleased, Level::Info, "lease_released" },
+  EventInfo{ Event::LeaseGained, Level::Info, "lease_gained" },
+  EventInfo{ Event::LeaseLost, Level::Warning, "lease_lost" },
   EventInfo{ Event::ConnectionSilent, Level::Warning, "connection_silent" },
   EventInfo{ Event::LinkRefused, Level::Warning, "link_refused" },
   EventInfo{ Event::RequestRefused, Level::Debug, "request_refused" },
   EventInfo{ Event::TokenForged, Level::Warning, "token_forged" },
   EventInfo{ Event::OperatorRefused, Level::Warning, "operator_refused" },
+  EventInfo{ Event::StatementRouted, Level::Debug, "statement_routed" },
+  EventInfo{ Event::StatementRefused, Level::Info, "statement_refused" },
+  EventInfo{ Event::StatementRetried, Level::Info, "statement_retried" },
+  EventInfo{ Event::StatementDone, Level::Info, "statement_done" },
+  EventInfo{ Event::StatementInDoubt, Level::Warning, "statement_in_doubt" },
+  EventInfo{ Event::TransactionLost, Level::Info, "transaction_lost" },
+  EventInfo{ Event::SessionRefused, Level::Info, "session_refused" },
+  EventInfo{ Event::ServerReached, Level::Info, "server_reached" },
+  EventInfo{ Event::ServerUnreachable, Level::Warning, "server_unreachable" },
+  EventInfo{ Event::ServerMoved, Level::Info, "server_moved" },
+  EventInfo{ Event::AnnounceRefused, Level::Warning, "announce_refused" },
+  EventInfo{ Event::LinesDropped, Level::Warning, "lines_dropped" },
 };
 
 const EventInfo&
@@ -84,7 +188,7 @@
                     now.time_since_epoch())
                     .count() %
                   1000;
-  const auto line =
+  auto line =
     fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} J{:03} {} {}\n",
                 fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
                 ms,
@@ -92,8 +196,61 @@
                 static_cast<unsigned>(info.event_),
                 info.name_,
                 aText);
-  // One write a line keeps lines of several threads whole.
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  LogBuffer& buffer = Buffer();
+  const std::scoped_lock lock(buffer.mutex_);
+  const auto steady = Clock::now();
+  const bool fits =
+    !buffer.buffered_ || (buffer.bytes_.size() + line.size() <= kMaxBuffered &&
+                          TakeToken(buffer, aEvent, steady));
+  if (!fits) {
+    buffer.dropped_++;
+    buffer.droppedAll_++;
+    return;
+  }
+  buffer.bytes_ += line;
+  if (!buffer.buffered_ || info.level_ >= Level::Warning) {
+    WriteOut(buffer);
+  }
+}
+
+void
+BufferLog(int aOutput)
+{
+  LogBuffer& buffer = Buffer();
+  const std::scoped_lock lock(buffer.mutex_);
+  buffer.output_ = aOutput;
+  buffer.buffered_ = true;
+  const int flags = fcntl(aOutput, F_GETFL);
+  if (flags >= 0) {
+    fcntl(aOutput, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void
+FlushLog()
+{
+  LogBuffer& buffer = Buffer();
+  std::uint64_t dropped = 0;
+  {
+    const std::scoped_lock lock(buffer.mutex_);
+    const auto now = Clock::now();
+    if (buffer.dropped_ > 0 && now - buffer.reportedAt_ >= kReportDropped) {
+      dropped = std::exchange(buffer.dropped_, 0);
+      buffer.reportedAt_ = now;
+    }
+    WriteOut(buffer);
+  }
+  if (dropped > 0) {
+    LogEvent(Event::LinesDropped, "lines={}", dropped);
+  }
+}
+
+std::uint64_t
+CountDroppedLines()
+{
+  LogBuffer& buffer = Buffer();
+  const std::scoped_lock lock(buffer.mutex_);
+  return buffer.droppedAll_;
 }
 
 } // namespace jaydoor
--- a/base/Log.h
+++ b/base/Log.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Numbered log events, one line each on standard error.
+// Numbered log events, one line each: on standard error, or buffered to an
+// output of the process's choice that no thread ever waits for.
 //
 //   LogEvent(Event::PrimaryChanged, "database={} server={}", db, server);
 //
@@ -30,6 +31,9 @@
   Started = 100,
   Stopping = 101,
   Stopped = 102,
+  Reloaded = 105,
+  ReloadRefused = 106,
+  ReadinessChanged = 107,
   SettingRefused = 103,
   RulesFileRefused = 104,
   DiskFailed = 110,
@@ -39,8 +43,12 @@
   LeaderLost = 201,
   VoterReplaced = 202,
   SnapshotTaken = 203,
+  VoterRemoved = 204,
   RulesInForce = 210,
   RulesConflict = 211,
+  DocumentInForce = 212,
+  DocumentRefused = 213,
+  DocumentAccepted = 214,
   VmJoined = 300,
   VmSuspected = 301,
   VmDead = 302,
@@ -51,11 +59,29 @@
   PromotionStarted = 321,
   PrimaryChanged = 322,
   PromotionStalled = 323,
+  PromotionAnswered = 324,
+  PromotionFinished = 325,
+  LeaseRevoked = 330,
+  LeaseReleased = 331,
+  LeaseGained = 332,
+  LeaseLost = 333,
   ConnectionSilent = 400,
   LinkRefused = 401,
   RequestRefused = 402,
   TokenForged = 403,
   OperatorRefused = 404,
+  StatementRouted = 410,
+  StatementRefused = 411,
+  StatementRetried = 412,
+  StatementDone = 413,
+  StatementInDoubt = 414,
+  TransactionLost = 415,
+  SessionRefused = 416,
+  ServerReached = 420,
+  ServerUnreachable = 421,
+  ServerMoved = 422,
+  AnnounceRefused = 430,
+  LinesDropped = 440,
 };
 
 struct EventInfo
@@ -73,6 +99,16 @@
 void
 SetLogLevel(Level aLevel);
 
+// From now on lines are buffered, bounded in number, and written to this
+// descriptor by FlushLog, at once if they are warnings. What its reader does
+// not take in time is dropped and counted.
+void
+BufferLog(int aOutput);
+void
+FlushLog();
+std::uint64_t
+CountDroppedLines();
+
 // Writes one line: time, level, number, name, text.
 void
 WriteEvent(Event aEvent, std::string_view aText);
--- a/base/Time.h
+++ b/base/Time.h
@@ -3,7 +3,7 @@
 // Monotonic time as the decision code sees it.
 //
 // Decision code never reads a clock: a `Time` comes in with each event. The
-// shells take it from std::chrono::steady_clock, tests from a counter.
+// shells take it from the clock in daemon/Clock.h, tests from a counter.
 
 #include <chrono>
 
--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -211,8 +211,7 @@
     Time next = ReadClock();
     while (next < aUntil) {
       next += Duration(static_cast<Duration::rep>(pause(random_) * 1e6));
-      timer.expires_at(
-        std::chrono::steady_clock::time_point(next.time_since_epoch()));
+      timer.expires_after(next - ReadClock());
       co_await timer.async_wait(asio::use_awaitable);
       asio::co_spawn(context_, SendOne(aStream, aNumber), asio::detached);
     }
--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -3,6 +3,7 @@
 #include "base/Erase.h"
 
 #include <algorithm>
+#include <set>
 
 #include <fmt/format.h>
 
@@ -17,12 +18,16 @@
 constexpr Duration kPullEvery = 200ms;
 constexpr Duration kZoneProofAfter = 3s; // no quorum: the zone's word counts
 constexpr Duration kGoneEvery = 1s;
-constexpr Duration kGoneAfter = 30s; // no announcement for this long
-constexpr std::size_t kFanout = 5;   // VMs that a change is pushed to
+constexpr Duration kGoneAfter = 30s;    // no announcement for this long
+constexpr std::size_t kFanout = 5;      // VMs that a change is pushed to
+constexpr std::size_t kDirectPush = 32; // VMs that the leader tells itself
 
+// True if both describe the server alike; each announcement has another
+// sequence number.
 bool
-IsSame(const wire::Upstream& aLeft, const wire::Upstream& aRight)
+IsSame(const wire::Upstream& aLeft, wire::Upstream aRight)
 {
+  aRight.set_sequence(aLeft.sequence());
   return aLeft.SerializeAsString() == aRight.SerializeAsString();
 }
 
@@ -41,6 +46,8 @@
                 config_.membership_,
                 config_.seed_)
   , promoter_(config_.promoter_)
+  , failover_(config_.failover_)
+  , leases_(config_.lease_)
 {
   if (aDisk) {
     state_.Install(aDisk->snapshot_);
@@ -61,6 +68,18 @@
   Finish(aNow, aOut);
 }
 
+void
+ControlNode::AddSeeds(std::vector<wire::Vm> aSeeds)
+{
+  for (const auto& seed : aSeeds) {
+    const auto& known = config_.voterVms_;
+    if (std::find(known.begin(), known.end(), seed.id()) == known.end()) {
+      config_.voterVms_.push_back(seed.id());
+    }
+  }
+  membership_.AddSeeds(std::move(aSeeds));
+}
+
 VmId
 ControlNode::LeaderVm() const
 {
@@ -119,7 +138,28 @@
     Send(leader, aMessage, aOut);
     return;
   }
-  for (const auto& vm : config_.voterVms_) {
+  SendToVoters(aMessage, aOut);
+}
+
+// The VMs that vote, as far as this one knows: those that the settings name
+// and those that say so themselves.
+std::vector<VmId>
+ControlNode::ListControlVms() const
+{
+  std::set<VmId> ids(config_.voterVms_.begin(), config_.voterVms_.end());
+  for (const auto& vm : membership_.LiveVms()) {
+    if (!vm.voter().empty()) {
+      ids.insert(vm.id());
+    }
+  }
+  return { ids.begin(), ids.end() };
+}
+
+void
+ControlNode::SendToVoters(const wire::ControlMessage& aMessage,
+                          ControlActions& aOut)
+{
+  for (const auto& vm : ListControlVms()) {
     Send(vm, aMessage, aOut);
   }
 }
@@ -151,6 +191,12 @@
                      ControlActions& aOut)
 {
   if (raft_ && raft_->IsLeader()) {
+    if (aChange.has_document()) {
+      if (aChange.document().version() <= proposedDocument_) {
+        return; // it is in the log, or overtaken there
+      }
+      proposedDocument_ = aChange.document().version();
+    }
     RaftActions actions;
     raft_->Propose(aChange, aNow, actions);
     PerformRaft(std::move(actions), aOut);
@@ -170,6 +216,9 @@
   const VmId& from = message.from();
   counters_.messagesIn_++;
   counters_.bytesIn_ += message.ByteSizeLong();
+  if (TakeLeaseMessage(message, aNow, aOut)) {
+    return;
+  }
   std::vector<SendVm> sends;
   switch (message.body_case()) {
     case wire::ControlMessage::kProbe:
@@ -196,6 +245,8 @@
     case wire::ControlMessage::kIndexRequest:
       if (MayDecide(aNow)) {
         wire::ControlMessage reply;
+        reply.mutable_index_reply()->set_request(
+          message.index_request().request());
         reply.mutable_index_reply()->set_index(raft_->CommitIndex());
         Send(from, std::move(reply), aOut);
       }
@@ -203,6 +254,10 @@
     case wire::ControlMessage::kIndexReply:
       provenIndex_ =
         std::max(provenIndex_.value_or(0), message.index_reply().index());
+      if (const auto read = reads_.find(message.index_reply().request());
+          read != reads_.end()) {
+        read->second.index_ = message.index_reply().index();
+      }
       break;
     case wire::ControlMessage::kPropose:
       // Only the leader takes it: a proposal is not passed on twice.
@@ -212,6 +267,7 @@
       break;
     case wire::ControlMessage::kSuspicion:
       promoter_.NoteSuspicion(from, message.suspicion(), aNow);
+      failover_.NoteSuspicion(from, message.suspicion(), aNow);
       break;
     case wire::ControlMessage::kFounding:
       TakeFounding(message, aNow, aOut);
@@ -283,6 +339,7 @@
 ControlNode::Handle(TakeSuspicion& aEvent, Time aNow, ControlActions& aOut)
 {
   promoter_.NoteSuspicion(config_.self_.id(), aEvent.suspicion_, aNow);
+  failover_.NoteSuspicion(config_.self_.id(), aEvent.suspicion_, aNow);
   if (raft_ && raft_->IsLeader()) {
     return;
   }
@@ -303,6 +360,10 @@
   if (!MayDecide(aNow)) {
     return;
   }
+  if (config_.outsidePromotion_) {
+    TickFailover(aNow, aOut);
+    return;
+  }
   promoter_.Tick(state_, owners_, aNow);
   for (const auto& change : promoter_.TakeProposals()) {
     Propose(change, aNow, aOut);
@@ -322,6 +383,11 @@
 {
   const wire::Upstream& info = aEvent.upstream_;
   Heard& heard = heard_[info.server()];
+  const bool late = std::pair(info.born_ms(), info.sequence()) <
+                    std::pair(heard.info_.born_ms(), heard.info_.sequence());
+  if (late || !state_.IsNews(info)) {
+    return; // it was delayed, and says nothing about now
+  }
   if (heard.info_.leaving() != info.leaving()) {
     viewDirty_ = true; // in force here at once, elsewhere with the log
   }
@@ -405,9 +471,11 @@
   EraseWhere(upstreams_, [&](const ServerId& aId, PendingUpstream& aPending) {
     const wire::Upstream* known = state_.FindServer(aId);
     const bool gone = aPending.change_.gone();
+    const wire::Upstream& info = aPending.change_.upstream();
+    const bool overtaken = info.born_ms() > 0 && !state_.IsNews(info);
     const bool done =
       gone ? known == nullptr
-           : known != nullptr && IsSame(*known, aPending.change_.upstream());
+           : overtaken || (known != nullptr && IsSame(*known, info));
     if (!done && aNow >= aPending.sendAt_) {
       aPending.sendAt_ = aNow + kProposeAgain;
       wire::Change change;
@@ -442,9 +510,7 @@
   proofAt_ = aNow + kProofEvery;
   wire::ControlMessage ask;
   ask.mutable_index_request();
-  for (const auto& vm : config_.voterVms_) {
-    Send(vm, ask, aOut);
-  }
+  SendToVoters(ask, aOut);
   for (const auto& vm : membership_.ChooseRandom(1)) {
     AskDelta(vm, aOut);
   }
@@ -470,6 +536,8 @@
   TickPromoter(aNow, aOut);
   TickGone(aNow);
   TickPending(aNow, aOut);
+  TickDocuments(aNow, aOut);
+  TickReads(aNow, aOut);
   TickProof(aNow, aOut);
 }
 
@@ -486,6 +554,8 @@
 ControlNode::Finish(Time aNow, ControlActions& aOut)
 {
   TickPending(aNow, aOut);
+  TickDocuments(aNow, aOut);
+  TickReads(aNow, aOut);
   if (state_.Index() > published_) {
     PushDelta(published_, aOut);
     published_ = state_.Index();
@@ -515,7 +585,20 @@
   if (delta.has_snapshot()) {
     return; // too much to push; it is asked for
   }
-  for (const auto& vm : membership_.ChooseRandom(kFanout)) {
+  // In a small fleet the leader tells everybody, and nobody passes it on.
+  const std::vector<wire::Vm> live = membership_.LiveVms();
+  const bool small = live.size() <= kDirectPush;
+  std::vector<VmId> targets;
+  if (!small) {
+    targets = membership_.ChooseRandom(kFanout);
+  } else if (raft_ && raft_->IsLeader()) {
+    for (const auto& vm : live) {
+      if (vm.voter().empty()) {
+        targets.push_back(vm.id());
+      }
+    }
+  }
+  for (const auto& vm : targets) {
     wire::ControlMessage message;
     *message.mutable_delta() = delta;
     message.mutable_delta()->set_proven(proven_);
@@ -532,6 +615,14 @@
     aOut.push_back(ControlNote{ Event::RulesInForce,
                                 fmt::format("version={}", notedRules_) });
   }
+  if (state_.CurrentDocument().version() != notedDocument_) {
+    notedDocument_ = state_.CurrentDocument().version();
+    aOut.push_back(ControlNote{ Event::DocumentInForce,
+                                fmt::format("version={} bytes={} index={}",
+                                            notedDocument_,
+                                            state_.DocumentBody()->size(),
+                                            state_.Index()) });
+  }
   for (const auto& [name, database] : state_.Databases()) {
     std::uint64_t& noted = notedTerms_[name];
     if (database.primary_term() > noted) {
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -16,10 +16,13 @@
 
 #include "base/Log.h"
 #include "control/ControlState.h"
+#include "control/Failover.h"
+#include "control/LeaseTable.h"
 #include "control/Membership.h"
 #include "control/Promoter.h"
 #include "control/Raft.h"
 
+#include <set>
 #include <variant>
 
 namespace jaydoor {
@@ -55,6 +58,44 @@
   wire::RuleChange change_;
 };
 
+// An operator's whole configuration; the answer is AnswerDocument.
+struct TakeDocument
+{
+  std::uint64_t operator_ = 0;
+  wire::Document document_;
+};
+
+// Asks for the newest configuration; the answer is AnswerDocumentRead.
+struct TakeDocumentRead
+{
+  std::uint64_t operator_ = 0;
+};
+
+// From the traffic thread of this VM: it wants leases on the primaries, or
+// gives some back.
+struct TakeLeaseRequest
+{
+  wire::LeaseRequest request_;
+};
+
+struct TakeLeaseRelease
+{
+  wire::LeaseRelease release_;
+};
+
+// Answers to CallServer and RequestPromotion.
+struct TakeServerStatus
+{
+  std::uint64_t call_ = 0;
+  std::optional<ServerStatus> status_; // none: the call failed
+};
+
+struct TakePromotionAnswer
+{
+  std::uint64_t call_ = 0;
+  PromotionAnswer answer_ = PromotionAnswer::Unknown;
+};
+
 struct TakeLeave
 {
   bool on_ = true; // off: the VM comes back after all
@@ -68,6 +109,12 @@
                                   TakeSuspicion,
                                   TakeUpstreamAnswer,
                                   TakeRuleChange,
+                                  TakeDocument,
+                                  TakeDocumentRead,
+                                  TakeLeaseRequest,
+                                  TakeLeaseRelease,
+                                  TakeServerStatus,
+                                  TakePromotionAnswer,
                                   TakeLeave,
                                   TakeControlTick>;
 
@@ -84,6 +131,29 @@
   std::optional<wire::RuleOutcome> outcome_; // none: not known yet; resend
 };
 
+struct AnswerDocument
+{
+  std::uint64_t operator_ = 0;
+  bool stored_ = false; // false: not known yet; resend
+};
+
+struct AnswerDocumentRead
+{
+  std::uint64_t operator_ = 0;
+  std::shared_ptr<const std::string> body_; // none: can't prove the newest
+};
+
+// For the traffic thread of this VM.
+struct DeliverGrant
+{
+  wire::LeaseGrant grant_;
+};
+
+struct DeliverRevocation
+{
+  wire::LeaseRevoke revoke_;
+};
+
 // Saves are synced before a later message is sent.
 using ControlAction = std::variant<SaveHardState,
                                    SaveEntries,
@@ -92,6 +162,12 @@
                                    CallUpstream,
                                    PublishView,
                                    AnswerOperator,
+                                   AnswerDocument,
+                                   AnswerDocumentRead,
+                                   CallServer,
+                                   RequestPromotion,
+                                   DeliverGrant,
+                                   DeliverRevocation,
                                    ControlNote>;
 using ControlActions = std::vector<ControlAction>;
 
@@ -101,11 +177,16 @@
 {
   wire::Vm self_;
   std::vector<wire::Vm> seeds_; // VMs to join through
-  std::vector<VmId> voterVms_;  // VMs that have a data folder
+  std::vector<VmId> voterVms_;  // VMs that have a data folder, at the start
   std::uint64_t seed_ = 1;
+  std::size_t voterCount_ = 0; // voters wanted; 0: all that have a data folder
+  bool mayFound_ = true;       // a blank fleet may found its control state
+  bool outsidePromotion_ = false; // an outside service promotes: see Failover
   RaftTiming raft_;
   MembershipTiming membership_;
   PromoterTiming promoter_;
+  FailoverTiming failover_;
+  LeaseTiming lease_;
 };
 
 struct ControlCounters
@@ -127,6 +208,9 @@
   // When a TakeControlTick is due at the latest.
   Time NextWake(Time aNow) const;
 
+  // Other VMs to join through; those that are known stay.
+  void AddSeeds(std::vector<wire::Vm> aSeeds);
+
   const ControlState& State() const { return state_; }
   const Membership& Members() const { return membership_; }
   const Raft* Consensus() const { return raft_ ? &*raft_ : nullptr; }
@@ -144,6 +228,23 @@
     Time until_;
   };
 
+  struct PendingDocument
+  {
+    wire::Document document_;
+    std::vector<std::uint64_t> operators_;
+    Time sendAt_;
+    Time until_;
+  };
+
+  // A read of the configuration that waits for a proof.
+  struct PendingRead
+  {
+    std::uint64_t operator_ = 0;
+    std::optional<std::uint64_t> index_; // surely committed at the read
+    Time askAt_;
+    Time until_;
+  };
+
   struct PendingUpstream
   {
     wire::UpstreamChange change_;
@@ -161,6 +262,12 @@
   void Handle(TakeSuspicion& aEvent, Time aNow, ControlActions& aOut);
   void Handle(TakeUpstreamAnswer& aEvent, Time aNow, ControlActions& aOut);
   void Handle(TakeRuleChange& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeDocument& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeDocumentRead& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeLeaseRequest& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeLeaseRelease& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakeServerStatus& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(TakePromotionAnswer& aEvent, Time aNow, ControlActions& aOut);
   void Handle(TakeLeave& aEvent, Time aNow, ControlActions& aOut);
   void Handle(TakeControlTick& aEvent, Time aNow, ControlActions& aOut);
 
@@ -168,6 +275,7 @@
             wire::ControlMessage aMessage,
             ControlActions& aOut);
   void SendAll(std::vector<SendVm> aMessages, ControlActions& aOut);
+  void SendToVoters(const wire::ControlMessage& aMessage, ControlActions& aOut);
   void SendToLeader(const wire::ControlMessage& aMessage, ControlActions& aOut);
   void PerformRaft(RaftActions aActions, ControlActions& aOut);
   void Propose(const wire::Change& aChange, Time aNow, ControlActions& aOut);
@@ -177,13 +285,27 @@
                     Time aNow,
                     ControlActions& aOut);
   void AdmitVoter(const VoterId& aVoter, Time aNow, ControlActions& aOut);
+  void TickVoterSet(Time aNow, ControlActions& aOut);
+  bool IsVoterGone(const VoterId& aVoter, Time aNow, Duration aLimit);
+  void TickDocuments(Time aNow, ControlActions& aOut);
+  void TickReads(Time aNow, ControlActions& aOut);
+  bool TakeLeaseMessage(const wire::ControlMessage& aMessage,
+                        Time aNow,
+                        ControlActions& aOut);
+  void GrantLeases(const VmId& aHolder,
+                   const wire::LeaseRequest& aRequest,
+                   Time aNow,
+                   ControlActions& aOut);
+  void RevokeLeases(const DatabaseId& aDatabase, ControlActions& aOut);
+  void TickFailover(Time aNow, ControlActions& aOut);
+  std::vector<VmId> ListControlVms() const;
   void TickVoter(Time aNow, ControlActions& aOut);
   void TickFounding(Time aNow, ControlActions& aOut);
   void TickPromoter(Time aNow, ControlActions& aOut);
   void TickPending(Time aNow, ControlActions& aOut);
   void TickProof(Time aNow, ControlActions& aOut);
   void TickGone(Time aNow);
-  void MoveSnapshot(ControlActions& aOut);
+  void MoveSnapshot(Time aNow, ControlActions& aOut);
 
   void AskDelta(const VmId& aFrom, ControlActions& aOut);
   void NoteLeader(const VoterId& aLeader);
@@ -204,10 +326,16 @@
   ControlState state_;
   Membership membership_;
   Promoter promoter_;
+  Failover failover_;
+  LeaseTable leases_;
   OwnerMap owners_; // of the live VMs
   std::optional<Raft> raft_;
 
-  std::map<std::string, PendingRules> rules_; // by request
+  std::map<std::string, PendingRules> rules_;        // by request
+  std::map<std::string, PendingDocument> documents_; // by content
+  std::map<std::uint64_t, PendingRead> reads_;       // by request
+  std::uint64_t nextRead_ = 1;
+  std::uint64_t proposedDocument_ = 0; // highest version, as the leader
   std::map<ServerId, PendingUpstream> upstreams_;
   std::map<ServerId, Heard> heard_; // upstreams that announce to this VM
   std::map<VoterId, Time> blanks_;  // blank voters heard while blank
@@ -216,6 +344,11 @@
   Time pullAt_;
   Time goneAt_;
   Time startedAt_;
+  Time leaderSince_;
+  Time leaderHeardAt_;
+  Time sizeAt_;
+  std::map<VoterId, Time> voterSeen_;    // while this VM is the leader
+  std::map<VoterId, ZoneId> voterZones_; // last known
   VoterId leaderHint_;
   std::optional<std::uint64_t> provenIndex_;
   bool neighbourProven_ = false;
@@ -229,6 +362,7 @@
   std::uint64_t notedRevision_ = 0;       // of the servers
   std::map<ServerId, bool> notedServers_; // true: leaving
   std::uint64_t notedRules_ = 0;
+  std::uint64_t notedDocument_ = 0;
   ControlCounters counters_;
 };
 
--- /dev/null
+++ b/control/ControlNodeLeases.cpp
@@ -0,0 +1,141 @@
+// A node's part in leases on primaries and in changes of primary that an
+// outside service performs.
+
+#include "control/ControlNode.h"
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+
+// ---- As a holder: the traffic thread asks through the control thread
+
+void
+ControlNode::Handle(TakeLeaseRequest& aEvent, Time aNow, ControlActions& aOut)
+{
+  if (raft_ && raft_->IsLeader()) {
+    GrantLeases(config_.self_.id(), aEvent.request_, aNow, aOut);
+    return;
+  }
+  wire::ControlMessage message;
+  *message.mutable_lease_request() = std::move(aEvent.request_);
+  SendToLeader(message, aOut);
+}
+
+void
+ControlNode::Handle(TakeLeaseRelease& aEvent, Time aNow, ControlActions& aOut)
+{
+  leases_.Release(config_.self_.id(), aEvent.release_);
+  wire::ControlMessage message;
+  *message.mutable_lease_release() = std::move(aEvent.release_);
+  SendToLeader(message, aOut);
+  TickPromoter(aNow, aOut);
+}
+
+// ---- As the leader
+
+void
+ControlNode::GrantLeases(const VmId& aHolder,
+                         const wire::LeaseRequest& aRequest,
+                         Time aNow,
+                         ControlActions& aOut)
+{
+  if (!MayDecide(aNow)) {
+    return; // a later leader may have replaced a primary
+  }
+  wire::LeaseGrant grant = leases_.Grant(aHolder, aRequest, state_, aNow);
+  if (aHolder == config_.self_.id()) {
+    aOut.push_back(DeliverGrant{ std::move(grant) });
+    return;
+  }
+  wire::ControlMessage message;
+  *message.mutable_lease_grant() = std::move(grant);
+  Send(aHolder, std::move(message), aOut);
+}
+
+// Asks all that may hold one, also those that an earlier leader granted.
+void
+ControlNode::RevokeLeases(const DatabaseId& aDatabase, ControlActions& aOut)
+{
+  const wire::Database& database = state_.Databases().at(aDatabase);
+  wire::LeaseRevoke revoke;
+  wire::PrimaryLease& lease = *revoke.add_leases();
+  lease.set_database(aDatabase);
+  lease.set_server(database.primary());
+  lease.set_term(database.primary_term());
+  aOut.push_back(ControlNote{ Event::LeaseRevoked,
+                              fmt::format("database={} server={} term={}",
+                                          aDatabase,
+                                          database.primary(),
+                                          database.primary_term()) });
+  for (const auto& vm : membership_.LiveVms()) {
+    if (vm.voter().empty()) {
+      wire::ControlMessage message;
+      *message.mutable_lease_revoke() = revoke;
+      Send(vm.id(), std::move(message), aOut);
+    }
+  }
+  aOut.push_back(DeliverRevocation{ std::move(revoke) });
+}
+
+bool
+ControlNode::TakeLeaseMessage(const wire::ControlMessage& aMessage,
+                              Time aNow,
+                              ControlActions& aOut)
+{
+  switch (aMessage.body_case()) {
+    case wire::ControlMessage::kLeaseRequest:
+      GrantLeases(aMessage.from(), aMessage.lease_request(), aNow, aOut);
+      return true;
+    case wire::ControlMessage::kLeaseRelease:
+      leases_.Release(aMessage.from(), aMessage.lease_release());
+      TickPromoter(aNow, aOut);
+      return true;
+    case wire::ControlMessage::kLeaseGrant:
+      aOut.push_back(DeliverGrant{ aMessage.lease_grant() });
+      return true;
+    case wire::ControlMessage::kLeaseRevoke:
+      aOut.push_back(DeliverRevocation{ aMessage.lease_revoke() });
+      return true;
+    default:
+      return false;
+  }
+}
+
+void
+ControlNode::Handle(TakeServerStatus& aEvent, Time aNow, ControlActions& aOut)
+{
+  failover_.NoteStatus(aEvent.call_, aEvent.status_, aNow);
+  TickPromoter(aNow, aOut);
+}
+
+void
+ControlNode::Handle(TakePromotionAnswer& aEvent,
+                    Time aNow,
+                    ControlActions& aOut)
+{
+  failover_.NotePromotion(aEvent.call_, aEvent.answer_, aNow);
+  TickPromoter(aNow, aOut);
+}
+
+void
+ControlNode::TickFailover(Time aNow, ControlActions& aOut)
+{
+  failover_.Tick(state_, leases_, raft_->Term(), aNow);
+  for (const auto& database : failover_.TakeRevocations()) {
+    RevokeLeases(database, aOut);
+  }
+  for (auto& call : failover_.TakeCalls()) {
+    aOut.push_back(std::move(call));
+  }
+  for (auto& promotion : failover_.TakePromotions()) {
+    aOut.push_back(std::move(promotion));
+  }
+  for (auto& note : failover_.TakeNotes()) {
+    aOut.push_back(std::move(note));
+  }
+  for (const auto& change : failover_.TakeProposals()) {
+    Propose(change, aNow, aOut);
+  }
+}
+
+} // namespace jaydoor
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -12,7 +12,13 @@
 
 constexpr Duration kFoundingEvery = 200ms;
 constexpr Duration kBlankFresh = 2s; // a blank voter was heard this lately
-constexpr std::uint64_t kSnapshotEvery = 256; // changes
+constexpr std::uint64_t kSnapshotEvery = 256;             // changes
+constexpr std::size_t kSnapshotBytes = 2UL * 1024 * 1024; // of changes
+constexpr Duration kSizeEvery = 500ms; // the log's size is counted
+constexpr Duration kRejoinAfter = 2s;  // a voter that no leader talks to asks
+constexpr Duration kReplaceAfter = 3s; // a lost voter, in its own zone
+constexpr Duration kReplaceFarAfter = 20s; // in another one: it may come back
+constexpr Duration kForgetLearnerAfter = 30s;
 constexpr std::uint64_t kKeptBehind = 64; // log entries kept behind a snapshot
 
 } // namespace
@@ -22,15 +28,25 @@
 void
 ControlNode::TickFounding(Time aNow, ControlActions& aOut)
 {
-  if (!raft_ || !raft_->IsBlank() || aNow < foundingAt_) {
+  if (!raft_ || aNow < foundingAt_) {
     return;
   }
   foundingAt_ = aNow + kFoundingEvery;
   wire::ControlMessage hello;
   hello.set_from_voter(raft_->Self());
-  hello.mutable_founding()->set_blank(true);
-  for (const auto& vm : config_.voterVms_) {
-    Send(vm, hello, aOut);
+  hello.mutable_founding()->set_blank(raft_->IsBlank());
+  if (!raft_->IsBlank()) {
+    // The others may have gone on without this voter while it was away.
+    if (!raft_->Leader().empty()) {
+      leaderHeardAt_ = aNow;
+    } else if (aNow - leaderHeardAt_ >= kRejoinAfter) {
+      SendToVoters(hello, aOut);
+    }
+    return;
+  }
+  SendToVoters(hello, aOut);
+  if (!config_.mayFound_) {
+    return;
   }
   const auto first =
     std::min_element(config_.voterVms_.begin(), config_.voterVms_.end());
@@ -55,9 +71,7 @@
                               fmt::format("voters={}", voters.voters_size()) });
   hello.mutable_founding()->set_blank(false);
   *hello.mutable_founding()->mutable_voters() = voters;
-  for (const auto& vm : config_.voterVms_) {
-    Send(vm, hello, aOut);
-  }
+  SendToVoters(hello, aOut);
 }
 
 void
@@ -83,7 +97,7 @@
     }
     return;
   }
-  if (!founding.blank()) {
+  if (founding.voters().voters_size() > 0) {
     return;
   }
   if (raft_->IsVoter(voter)) {
@@ -137,31 +151,139 @@
   if (raft_->IsLeader() != wasLeader_) {
     wasLeader_ = raft_->IsLeader();
     promoter_.Reset();
+    failover_.Reset();
+    leases_.Reset(aNow);
+    proposedDocument_ = 0;
+    leaderSince_ = aNow;
+    voterSeen_.clear();
     aOut.push_back(
       ControlNote{ wasLeader_ ? Event::LeaderElected : Event::LeaderLost,
                    fmt::format("term={}", raft_->Term()) });
   }
-  const auto ready =
-    raft_->MayChangeVoters() ? raft_->FindReadyLearner() : std::nullopt;
-  if (ready) {
+  TickVoterSet(aNow, aOut);
+  MoveSnapshot(aNow, aOut);
+}
+
+// True if the VM of this voter has been away for so long, as seen from here.
+bool
+ControlNode::IsVoterGone(const VoterId& aVoter, Time aNow, Duration aLimit)
+{
+  Time& seen = voterSeen_.try_emplace(aVoter, leaderSince_).first->second;
+  if (membership_.IsAlive(VmOfVoter(aVoter))) {
+    seen = aNow;
+  }
+  return aNow - seen >= aLimit;
+}
+
+// Learners that have caught up vote while voters are wanted, spread over the
+// zones so that the loss of one leaves a majority. A voter that is gone is
+// replaced: the new one comes first, so that no acknowledged change is on
+// fewer disks meanwhile. One change of voters at a time.
+void
+ControlNode::TickVoterSet(Time aNow, ControlActions& aOut)
+{
+  if (!MayDecide(aNow) || !raft_->MayChangeVoters()) {
+    return;
+  }
+  std::map<VmId, ZoneId> zoneOf;
+  std::set<ZoneId> zones;
+  for (const auto& vm : membership_.LiveVms()) {
+    zoneOf[vm.id()] = vm.zone();
+    if (!vm.voter().empty()) {
+      zones.insert(vm.zone());
+    }
+  }
+  const auto zoneOfVoter = [&](const VoterId& aVoter) {
+    const auto known = voterZones_.find(aVoter);
+    return known == voterZones_.end() ? ZoneId() : known->second;
+  };
+  wire::VoterSet set = raft_->Voters();
+  std::map<ZoneId, std::size_t> perZone;
+  std::vector<VoterId> gone;
+  for (const auto& id : set.voters()) {
+    if (const auto zone = zoneOf.find(VmOfVoter(id)); zone != zoneOf.end()) {
+      voterZones_[id] = zone->second;
+    }
+    if (id != raft_->Self() && IsVoterGone(id, aNow, kReplaceAfter)) {
+      gone.push_back(id);
+    } else {
+      perZone[zoneOfVoter(id)]++;
+    }
+  }
+  const auto count = static_cast<std::size_t>(set.voters_size());
+  const std::size_t target = config_.voterCount_;
+  const std::size_t most =
+    zones.empty() ? target : (target + zones.size() - 1) / zones.size();
+  const auto propose = [&](Event aEvent, const VoterId& aVoter) {
     wire::Change change;
-    *change.mutable_voters() = raft_->Voters();
-    auto& learners = *change.mutable_voters()->mutable_learners();
-    learners.erase(std::find(learners.begin(), learners.end(), *ready));
-    change.mutable_voters()->add_voters(*ready);
-    aOut.push_back(
-      ControlNote{ Event::VoterReplaced, fmt::format("voter={}", *ready) });
+    *change.mutable_voters() = set;
+    aOut.push_back(ControlNote{ aEvent,
+                                fmt::format("voter={} voters={} learners={}",
+                                            aVoter,
+                                            set.voters_size(),
+                                            set.learners_size()) });
     Propose(change, aNow, aOut);
+  };
+  auto& voters = *set.mutable_voters();
+  auto& learners = *set.mutable_learners();
+  if (target > 0 && count > target) {
+    VoterId drop = gone.empty() ? VoterId() : gone.front();
+    for (const auto& id : voters) {
+      const bool spare =
+        drop.empty() && id != raft_->Self() && perZone[zoneOfVoter(id)] > most;
+      drop = spare ? id : drop;
+    }
+    if (!drop.empty()) {
+      voters.erase(std::find(voters.begin(), voters.end(), drop));
+      propose(Event::VoterRemoved, drop);
+    }
+    return;
+  }
+  for (const auto& id : raft_->ListReadyLearners()) {
+    const ZoneId zone = zoneOf[VmOfVoter(id)];
+    const bool wanted = target == 0 || count < target || !gone.empty();
+    const bool balanced = target == 0 || perZone[zone] < most;
+    const bool replaces =
+      count < target || target == 0 ||
+      std::any_of(gone.begin(), gone.end(), [&](const auto& aGone) {
+        return zoneOfVoter(aGone) == zone ||
+               IsVoterGone(aGone, aNow, kReplaceFarAfter);
+      });
+    if (wanted && balanced && replaces) {
+      learners.erase(std::find(learners.begin(), learners.end(), id));
+      voters.Add(std::string(id));
+      propose(Event::VoterReplaced, id);
+      return;
+    }
+  }
+  for (const auto& id : set.learners()) {
+    if (IsVoterGone(id, aNow, kForgetLearnerAfter)) {
+      const VoterId lost = id;
+      learners.erase(std::find(learners.begin(), learners.end(), lost));
+      propose(Event::VoterRemoved, lost);
+      return;
+    }
   }
-  MoveSnapshot(aOut);
 }
 
 // A snapshot is filed once the log has moved on a little, so that followers
 // that are only a little behind need entries and not the snapshot.
 void
-ControlNode::MoveSnapshot(ControlActions& aOut)
+ControlNode::MoveSnapshot(Time aNow, ControlActions& aOut)
 {
   const std::uint64_t index = state_.Index();
+  if (aNow >= sizeAt_) {
+    sizeAt_ = aNow + kSizeEvery;
+    if (raft_->LogBytes() > kSnapshotBytes && index > raft_->SnapshotIndex()) {
+      pendingSnapshot_.reset();
+      RaftActions actions;
+      raft_->Compact(state_.TakeSnapshot(), actions);
+      aOut.push_back(ControlNote{ Event::SnapshotTaken,
+                                  fmt::format("index={} cause=size", index) });
+      PerformRaft(std::move(actions), aOut);
+      return;
+    }
+  }
   if (!pendingSnapshot_ && index >= raft_->SnapshotIndex() + kSnapshotEvery) {
     pendingSnapshot_ = state_.TakeSnapshot();
   }
--- a/control/ControlState.cpp
+++ b/control/ControlState.cpp
@@ -35,12 +35,18 @@
     case wire::Change::kVoters:
       voters_ = aChange.voters();
       break;
+    case wire::Change::kDocument:
+      ApplyDocument(aChange.document());
+      break;
     case wire::Change::kNoop:
     case wire::Change::BODY_NOT_SET:
       break;
   }
   recent_.push_back(aChange);
-  if (recent_.size() > kKeptChanges) {
+  recentBytes_ += aChange.ByteSizeLong();
+  while (recent_.size() > kKeptChanges ||
+         (recentBytes_ > kKeptChangeBytes && recent_.size() > 1)) {
+    recentBytes_ -= recent_.front().ByteSizeLong();
     recent_.pop_front();
   }
   return true;
@@ -94,26 +100,89 @@
   }
 }
 
+// Highest version wins; others change nothing.
+void
+ControlState::ApplyDocument(const wire::Document& aDocument)
+{
+  if (aDocument.version() > document_.version()) {
+    document_ = aDocument;
+    documentBody_ = std::make_shared<const std::string>(document_.body());
+  }
+}
+
+void
+ControlState::RemoveServer(const ServerId& aServer)
+{
+  const auto known = servers_.find(aServer);
+  if (known == servers_.end()) {
+    return;
+  }
+  auto& servers = *databases_[known->second].mutable_servers();
+  const auto at =
+    std::find_if(servers.begin(), servers.end(), [&](const auto& aOld) {
+      return aOld.server() == aServer;
+    });
+  if (at != servers.end()) {
+    servers.erase(at);
+  }
+  servers_.erase(known);
+}
+
+bool
+ControlState::IsNews(const wire::Upstream& aInfo) const
+{
+  const wire::Upstream* known = FindServer(aInfo.server());
+  if (known != nullptr) {
+    const auto orderOf = [](const wire::Upstream& aServer) {
+      return std::pair(aServer.born_ms(), aServer.sequence());
+    };
+    return aInfo.born_ms() == 0 || orderOf(aInfo) > orderOf(*known);
+  }
+  for (const auto& [name, database] : databases_) {
+    for (const auto& other : database.servers()) {
+      const bool same =
+        other.host() == aInfo.host() && other.port() == aInfo.port();
+      if (same && other.born_ms() > aInfo.born_ms()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+// A change that has been overtaken changes nothing. A server that comes up at
+// the address of another one takes its place.
 void
 ControlState::ApplyUpstream(const wire::UpstreamChange& aChange)
 {
-  serversRevision_++;
   const wire::Upstream& info = aChange.upstream();
-  const auto known = servers_.find(info.server());
-  if (known != servers_.end()) {
-    auto& servers = *databases_[known->second].mutable_servers();
-    const auto at =
-      std::find_if(servers.begin(), servers.end(), [&info](const auto& aOld) {
-        return aOld.server() == info.server();
-      });
-    if (at != servers.end()) {
-      servers.erase(at);
+  const wire::Upstream* known = FindServer(info.server());
+  if (aChange.gone()) {
+    const bool newer = known != nullptr && known->born_ms() > info.born_ms();
+    if (!newer) {
+      serversRevision_++;
+      RemoveServer(info.server());
     }
-    servers_.erase(known);
+    return;
   }
-  if (aChange.gone()) {
+  if (!IsNews(info)) {
     return;
   }
+  serversRevision_++;
+  RemoveServer(info.server());
+  if (info.born_ms() > 0) {
+    std::vector<ServerId> replaced;
+    for (const auto& [name, database] : databases_) {
+      for (const auto& other : database.servers()) {
+        if (other.host() == info.host() && other.port() == info.port()) {
+          replaced.push_back(other.server());
+        }
+      }
+    }
+    for (const auto& server : replaced) {
+      RemoveServer(server);
+    }
+  }
   wire::Database& database = databases_[info.database()];
   database.set_name(info.database());
   *database.add_servers() = info;
@@ -127,6 +196,7 @@
   if (found != databases_.end()) {
     found->second.set_reserved_term(
       std::max(found->second.reserved_term(), aIntent.term()));
+    found->second.set_intended_primary(aIntent.server());
   }
 }
 
@@ -139,6 +209,9 @@
   if (newer) {
     found->second.set_primary(aChange.server());
     found->second.set_primary_term(aChange.term());
+    found->second.set_reserved_term(
+      std::max(found->second.reserved_term(), aChange.term()));
+    found->second.clear_intended_primary();
   }
 }
 
@@ -168,7 +241,10 @@
     KeepOutcome(outcome);
   }
   voters_ = aSnapshot.voters();
+  document_ = aSnapshot.document();
+  documentBody_ = std::make_shared<const std::string>(document_.body());
   recent_.clear();
+  recentBytes_ = 0;
   ParseCurrent();
   return true;
 }
@@ -189,6 +265,7 @@
     *snapshot.add_outcomes() = outcome;
   }
   *snapshot.mutable_voters() = voters_;
+  *snapshot.mutable_document() = document_;
   return snapshot;
 }
 
@@ -284,12 +361,17 @@
   view->rulesVersion_ = aState.RulesVersion();
   view->proven_ = aProven;
   view->rules_ = aState.CurrentRules();
+  view->documentVersion_ = aState.CurrentDocument().version();
+  view->document_ = aState.DocumentBody();
   view->vms_ = std::move(aVms);
   view->owners_ = OwnerMap(view->vms_);
   for (const auto& [name, database] : aState.Databases()) {
     DatabaseView& group = view->databases_[name];
     group.primary_ = database.primary();
     group.term_ = database.primary_term();
+    if (!database.intended_primary().empty()) {
+      view->changing_.insert(name);
+    }
     group.groupSize_ = ControlState::GroupSize(database);
     for (const auto& server : database.servers()) {
       group.servers_.push_back(server.server());
--- a/control/ControlState.h
+++ b/control/ControlState.h
@@ -21,6 +21,7 @@
 inline constexpr std::size_t kKeptVersions = 20;     // of the rules
 inline constexpr std::size_t kKeptOutcomes = 10'000; // of operators' requests
 inline constexpr std::size_t kKeptChanges = 1024;    // for VMs that are behind
+inline constexpr std::size_t kKeptChangeBytes = 1024UL * 1024; //
 
 class ControlState
 {
@@ -47,6 +48,16 @@
   {
     return databases_;
   }
+  // The operators' configuration in force; version 0: none yet.
+  const wire::Document& CurrentDocument() const { return document_; }
+  // The same body for as long as the version stays.
+  const std::shared_ptr<const std::string>& DocumentBody() const
+  {
+    return documentBody_;
+  }
+  // True if this is news of the server, and not a delayed announcement or one
+  // of a server whose address another one has taken over.
+  bool IsNews(const wire::Upstream& aInfo) const;
   const wire::Upstream* FindServer(const ServerId& aServer) const;
   // Servers that a majority is counted of: the largest group size announced.
   static std::uint64_t GroupSize(const wire::Database& aDatabase);
@@ -54,6 +65,8 @@
 private:
   void ApplyRules(const wire::RuleChange& aChange);
   void ApplyUpstream(const wire::UpstreamChange& aChange);
+  void RemoveServer(const ServerId& aServer);
+  void ApplyDocument(const wire::Document& aDocument);
   void ApplyIntent(const wire::PromotionIntent& aIntent);
   void ApplyPrimary(const wire::PrimaryChange& aChange);
   void KeepOutcome(wire::RuleOutcome aOutcome);
@@ -69,7 +82,10 @@
   std::deque<wire::RuleOutcome> outcomes_;             // oldest first
   std::map<std::string, wire::RuleOutcome> outcomeOf_; // by request
   wire::VoterSet voters_;
+  wire::Document document_;
+  std::shared_ptr<const std::string> documentBody_;
   std::deque<wire::Change> recent_; // ends at index_
+  std::size_t recentBytes_ = 0;
 };
 
 // The picture of the state that traffic decides by.
--- a/control/FleetView.h
+++ b/control/FleetView.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -63,10 +64,13 @@
   std::uint64_t rulesVersion_ = 0; //
   bool proven_ = false;            // rules are proven to be in force
   Rules rules_;
-  std::vector<VmView> vms_; // live ones, by id
-  OwnerMap owners_;         // of vms_
+  std::uint64_t documentVersion_ = 0; // of the operators' configuration
+  std::shared_ptr<const std::string> document_; // its body
+  std::vector<VmView> vms_;                     // live ones, by id
+  OwnerMap owners_;                             // of vms_
   std::map<ServerId, ServerView> servers_;
   std::map<DatabaseId, DatabaseView> databases_;
+  std::set<DatabaseId> changing_; // another primary is being promoted
 };
 
 using FleetViewPtr = std::shared_ptr<const FleetView>;
--- a/control/Membership.cpp
+++ b/control/Membership.cpp
@@ -30,6 +30,21 @@
   news_[self_.id()] = 1;
 }
 
+void
+Membership::AddSeeds(std::vector<wire::Vm> aSeeds)
+{
+  for (auto& seed : aSeeds) {
+    const bool known =
+      seed.id() == self_.id() ||
+      std::any_of(seeds_.begin(), seeds_.end(), [&](const auto& aKnown) {
+        return aKnown.id() == seed.id();
+      });
+    if (!known) {
+      seeds_.push_back(std::move(seed));
+    }
+  }
+}
+
 Duration
 Membership::Interval() const
 {
--- a/control/Membership.h
+++ b/control/Membership.h
@@ -67,6 +67,8 @@
                     Time aNow,
                     std::vector<SendVm>& aOut);
 
+  // Other VMs to join through, beside those that are known.
+  void AddSeeds(std::vector<wire::Vm> aSeeds);
   // Tells the others that this VM leaves, or stays after all.
   void SetLeaving(bool aOn);
 
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -459,17 +459,28 @@
   }
 }
 
-std::optional<VoterId>
-Raft::FindReadyLearner() const
+std::size_t
+Raft::LogBytes() const
 {
+  std::size_t bytes = 0;
+  for (const auto& entry : log_) {
+    bytes += entry.ByteSizeLong();
+  }
+  return bytes;
+}
+
+std::vector<VoterId>
+Raft::ListReadyLearners() const
+{
+  std::vector<VoterId> ready;
   for (const auto& id : voters_.learners()) {
     const auto found = peers_.find(id);
     if (found != peers_.end() && found->second.match_ >= commit_ &&
         commit_ > 0) {
-      return id;
+      ready.push_back(id);
     }
   }
-  return std::nullopt;
+  return ready;
 }
 
 bool
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -128,8 +128,10 @@
   const wire::VoterSet& Voters() const { return voters_; }
   bool IsBlank() const { return voters_.voters().empty(); }
   bool IsVoter(const VoterId& aId) const;
-  // A learner that has caught up with the commit index, if there is one.
-  std::optional<VoterId> FindReadyLearner() const;
+  // Learners that have caught up with the commit index.
+  std::vector<VoterId> ListReadyLearners() const;
+  // Bytes of the entries that no snapshot contains yet.
+  std::size_t LogBytes() const;
   // True if an entry of this leader's own term is committed, and no change of
   // the voters is under way.
   bool MayChangeVoters() const;
--- a/daemon/AdminJson.cpp
+++ b/daemon/AdminJson.cpp
@@ -26,7 +26,7 @@
 json::object
 WriteServer(const wire::Upstream& aServer,
             const VmId& aOwner,
-            std::span<const TrafficShell::UpstreamFigures> aFigures)
+            std::span<const UpstreamFigures> aFigures)
 {
   json::object object{ { "server", aServer.server() },
                        { "zone", aServer.zone() },
@@ -58,8 +58,7 @@
 } // namespace
 
 std::string
-WriteStatus(const ControlNode& aNode,
-            std::span<const TrafficShell::UpstreamFigures> aFigures)
+WriteStatus(const ControlNode& aNode, std::span<const UpstreamFigures> aFigures)
 {
   const ControlState& state = aNode.State();
   const OwnerMap owners(aNode.ListVms());
--- a/daemon/AdminJson.h
+++ b/daemon/AdminJson.h
@@ -18,7 +18,7 @@
 
 std::string
 WriteStatus(const ControlNode& aNode,
-            std::span<const TrafficShell::UpstreamFigures> aFigures);
+            std::span<const UpstreamFigures> aFigures);
 std::string
 WriteRules(const ControlState& aState);
 std::string
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -1,6 +1,5 @@
 #include "daemon/ControlShell.h"
 
-#include "control/ControlNode.h"
 #include "daemon/AdminJson.h"
 #include "daemon/Clock.h"
 #include "daemon/Http.h"
@@ -68,9 +67,10 @@
   };
   using PendingPtr = std::shared_ptr<Pending>;
 
-  Impl(const Settings& aSettings, TrafficShell& aTraffic)
+  Impl(const Settings& aSettings, TrafficPort aTraffic, OutsidePort aOutside)
     : settings_(aSettings)
-    , traffic_(aTraffic)
+    , traffic_(std::move(aTraffic))
+    , outside_(std::move(aOutside))
     , timer_(context_)
     , http_(context_,
             HttpLimits{},
@@ -89,6 +89,9 @@
     config.self_ = DescribeSelf(settings_);
     config.seeds_ = settings_.peers_;
     config.voterVms_ = settings_.voters_;
+    config.voterCount_ = settings_.voterCount_;
+    config.mayFound_ = settings_.mayFound_;
+    config.outsidePromotion_ = settings_.outsidePromotion_;
     config.seed_ = std::random_device{}();
     std::optional<RaftDisk> disk;
     if (!settings_.dataFolder_.empty()) {
@@ -129,8 +132,9 @@
   void Tick()
   {
     Step(TakeControlTick{});
-    timer_.expires_at(std::chrono::steady_clock::time_point(
-      node_->NextWake(ReadClock()).time_since_epoch()));
+    FlushLog();
+    const Time now = ReadClock();
+    timer_.expires_after(node_->NextWake(now) - now);
     timer_.async_wait([this](boost::system::error_code aError) {
       if (!aError) {
         Tick();
@@ -178,7 +182,7 @@
     for (const auto& vm : vms) {
       SetPeer(vm);
     }
-    traffic_.SetView(aAction.view_, vms);
+    traffic_.setView_(aAction.view_, vms);
   }
 
   void Perform(ControlNote& aAction)
@@ -199,6 +203,91 @@
     operators_.erase(found);
   }
 
+  // ---- The operators' configuration
+
+  struct PendingDocument
+  {
+    explicit PendingDocument(asio::io_context& aContext)
+      : done_(aContext, kOperatorLimit)
+    {
+    }
+
+    asio::steady_timer done_;
+    bool over_ = false;
+    bool stored_ = false;
+    std::shared_ptr<const std::string> body_;
+  };
+  using PendingDocumentPtr = std::shared_ptr<PendingDocument>;
+
+  asio::awaitable<PendingDocumentPtr> AwaitDocument(ControlEvent aEvent,
+                                                    std::uint64_t aId)
+  {
+    auto pending = std::make_shared<PendingDocument>(context_);
+    documents_[aId] = pending;
+    Step(std::move(aEvent));
+    boost::system::error_code ignored;
+    if (!pending->over_) {
+      co_await pending->done_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    documents_.erase(aId);
+    co_return pending;
+  }
+
+  void FinishDocument(std::uint64_t aId,
+                      bool aStored,
+                      std::shared_ptr<const std::string> aBody)
+  {
+    const auto found = documents_.find(aId);
+    if (found != documents_.end()) {
+      found->second->over_ = true;
+      found->second->stored_ = aStored;
+      found->second->body_ = std::move(aBody);
+      found->second->done_.cancel();
+    }
+  }
+
+  void Perform(AnswerDocument& aAction)
+  {
+    FinishDocument(aAction.operator_, aAction.stored_, nullptr);
+  }
+
+  void Perform(AnswerDocumentRead& aAction)
+  {
+    FinishDocument(
+      aAction.operator_, aAction.body_ != nullptr, std::move(aAction.body_));
+  }
+
+  // ---- Leases and promotions
+
+  void Perform(DeliverGrant& aAction)
+  {
+    if (traffic_.grant_) {
+      traffic_.grant_(std::move(aAction.grant_));
+    }
+  }
+
+  void Perform(DeliverRevocation& aAction)
+  {
+    if (traffic_.revoke_) {
+      traffic_.revoke_(std::move(aAction.revoke_));
+    }
+  }
+
+  void Perform(CallServer& aAction)
+  {
+    outside_.callServer_(aAction, [this, call = aAction.call_](auto aStatus) {
+      Step(TakeServerStatus{ call, aStatus });
+    });
+  }
+
+  void Perform(RequestPromotion& aAction)
+  {
+    outside_.promote_(aAction, [this, call = aAction.call_](auto aAnswer) {
+      Step(TakePromotionAnswer{ call, aAnswer });
+    });
+  }
+
   // ---- Calls to upstreams
 
   void Perform(CallUpstream& aAction)
@@ -348,7 +437,7 @@
   asio::awaitable<HttpReply> ServeStatus()
   {
     auto pending = std::make_shared<Pending>(context_);
-    traffic_.CollectUpstreams([this, pending](auto aFigures) {
+    traffic_.collectUpstreams_([this, pending](auto aFigures) {
       asio::post(context_, [this, pending, figures = std::move(aFigures)] {
         Finish(*pending, 200, WriteStatus(*node_, figures));
       });
@@ -359,7 +448,7 @@
   asio::awaitable<HttpReply> ServeMetrics()
   {
     auto pending = std::make_shared<Pending>(context_);
-    traffic_.CollectMetrics([this, pending](std::string aText) {
+    traffic_.collectMetrics_([this, pending](std::string aText) {
       asio::post(context_, [this, pending, text = std::move(aText)]() mutable {
         Finish(*pending, 200, WriteControlMetrics() + text);
       });
@@ -394,11 +483,12 @@
   void Drain(bool aOn)
   {
     Step(TakeLeave{ aOn });
-    traffic_.Drain(aOn);
+    traffic_.drain_(aOn);
   }
 
   Settings settings_;
-  TrafficShell& traffic_;
+  TrafficPort traffic_;
+  OutsidePort outside_;
   asio::io_context context_{ 1 };
   VoterDisk disk_;
   std::optional<ControlNode> node_;
@@ -407,11 +497,16 @@
   Link link_;
   std::map<std::uint64_t, std::shared_ptr<HttpClient>> calls_;
   std::map<std::uint64_t, PendingPtr> operators_;
+  std::map<std::uint64_t, PendingDocumentPtr> documents_;
   std::uint64_t nextOperator_ = 1;
 };
 
-ControlShell::ControlShell(const Settings& aSettings, TrafficShell& aTraffic)
-  : impl_(std::make_unique<Impl>(aSettings, aTraffic))
+ControlShell::ControlShell(const Settings& aSettings,
+                           TrafficPort aTraffic,
+                           OutsidePort aOutside)
+  : impl_(std::make_unique<Impl>(aSettings,
+                                 std::move(aTraffic),
+                                 std::move(aOutside)))
 {
 }
 
@@ -429,6 +524,68 @@
   impl_->context_.run();
 }
 
+asio::io_context&
+ControlShell::Context()
+{
+  return impl_->context_;
+}
+
+void
+ControlShell::Announce(wire::Upstream aUpstream)
+{
+  impl_->Step(TakeAnnounce{ std::move(aUpstream) });
+}
+
+asio::awaitable<bool>
+ControlShell::StoreDocument(wire::Document aDocument)
+{
+  const std::uint64_t id = impl_->nextOperator_++;
+  // Named, as gcc 12 destroys temporaries of a co_await twice.
+  ControlEvent event = TakeDocument{ id, std::move(aDocument) };
+  const auto pending = co_await impl_->AwaitDocument(std::move(event), id);
+  co_return pending->stored_;
+}
+
+asio::awaitable<std::shared_ptr<const std::string>>
+ControlShell::ReadDocument()
+{
+  const std::uint64_t id = impl_->nextOperator_++;
+  ControlEvent event = TakeDocumentRead{ id };
+  const auto pending = co_await impl_->AwaitDocument(std::move(event), id);
+  co_return pending->body_;
+}
+
+const ControlState&
+ControlShell::State() const
+{
+  return impl_->node_->State();
+}
+
+void
+ControlShell::AddSeeds(std::vector<wire::Vm> aSeeds)
+{
+  for (const auto& seed : aSeeds) {
+    impl_->SetPeer(seed);
+  }
+  impl_->node_->AddSeeds(std::move(aSeeds));
+}
+
+void
+ControlShell::RequestLeases(wire::LeaseRequest aRequest)
+{
+  asio::post(impl_->context_, [this, request = std::move(aRequest)] {
+    impl_->Step(TakeLeaseRequest{ request });
+  });
+}
+
+void
+ControlShell::ReleaseLeases(wire::LeaseRelease aRelease)
+{
+  asio::post(impl_->context_, [this, release = std::move(aRelease)] {
+    impl_->Step(TakeLeaseRelease{ release });
+  });
+}
+
 void
 ControlShell::Suspect(wire::Suspicion aSuspicion)
 {
@@ -445,7 +602,7 @@
     auto limit = std::make_shared<asio::steady_timer>(impl_->context_);
     limit->expires_after(impl_->settings_.drainLimit_);
     limit->async_wait([this, limit](boost::system::error_code) { Stop(); });
-    impl_->traffic_.WhenIdle([this] { Stop(); });
+    impl_->traffic_.whenIdle_([this] { Stop(); });
   });
 }
 
--- a/daemon/Http.cpp
+++ b/daemon/Http.cpp
@@ -343,6 +343,9 @@
     if (!aTrace.empty()) {
       request_.set("traceparent", std::string(aTrace));
     }
+    for (const auto& [name, value] : headers_) {
+      request_.set(name, value);
+    }
     request_.body() = std::move(aBody);
     request_.prepare_payload();
     http::async_write(stream_,
@@ -404,6 +407,7 @@
   }
 
   beast::tcp_stream stream_;
+  std::vector<std::pair<std::string, std::string>> headers_;
   HttpClientEvents events_;
   std::string host_;
   beast::flat_buffer buffer_;
@@ -440,6 +444,13 @@
   impl_->Post(aPath, std::move(aBody), aSecret, aTrace);
 }
 
+void
+HttpClient::SetHeaders(
+  std::vector<std::pair<std::string, std::string>> aHeaders)
+{
+  impl_->headers_ = std::move(aHeaders);
+}
+
 void
 HttpClient::Close()
 {
--- a/daemon/Http.h
+++ b/daemon/Http.h
@@ -17,6 +17,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -108,6 +110,8 @@
             std::string aBody,
             std::string_view aSecret = {},
             std::string_view aTrace = {});
+  // Headers that every later request carries besides.
+  void SetHeaders(std::vector<std::pair<std::string, std::string>> aHeaders);
   // Ends the connection; no callback follows.
   void Close();
 
--- /dev/null
+++ b/daemon/SessionShell.h
@@ -0,0 +1,599 @@
+#pragma once
+
+// Drives a Gateway on the traffic thread: callers' sessions and connections to
+// servers over TCP, in the bytes of a codec.
+//
+//   SessionShell<LineCodec> shell(config, ports);
+//   shell.Listen("10.0.1.1", 7000);
+//   shell.Run();
+//
+// Sections:
+//   1. What a codec has to offer
+//   2. The shell
+//
+// What one event makes the gateway send to a connection leaves in one write.
+
+#include "base/Error.h"
+#include "daemon/Clock.h"
+#include "daemon/ControlShell.h"
+#include "daemon/GatewayMetrics.h"
+#include "gateway/Gateway.h"
+
+#include <array>
+#include <concepts>
+#include <netinet/tcp.h>
+#include <unordered_map>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace jaydoor {
+
+// ---- 1. What a codec has to offer
+
+template<typename Codec>
+concept SessionCodec = requires(typename Codec::CallerParser aCaller,
+                                typename Codec::ServerParser aServer,
+                                std::string& aBytes)
+{
+  aCaller.Push(std::string_view());
+  {
+    aCaller.Next()
+    } -> std::same_as<std::optional<CallerMessage>>;
+  aServer.Push(std::string_view());
+  {
+    aServer.Next()
+    } -> std::same_as<std::optional<ServerMessage>>;
+  // An error that came without the end of an answer.
+  {
+    aServer.PendingError()
+    } -> std::same_as<std::optional<SessionError>>;
+  Codec::WriteAccepted(aBytes);
+  Codec::WriteRefused(aBytes, SessionError::Other);
+  Codec::WriteReply(aBytes, SessionReply());
+  Codec::WriteOpen(aBytes, DatabaseId(), ServerId());
+  Codec::WriteCommand(aBytes, ServerCommand());
+};
+
+// ---- 2. The shell
+
+// What the traffic thread tells the control thread; may be called on any.
+struct ControlPort
+{
+  std::function<void(wire::Suspicion)> suspect_;
+  std::function<void(wire::LeaseRequest)> requestLeases_;
+  std::function<void(wire::LeaseRelease)> releaseLeases_;
+};
+
+// Reads the operators' configuration; null if it can't be read.
+using CatalogReader =
+  std::function<CatalogPtr(std::uint64_t aVersion, std::string_view aBody)>;
+
+template<SessionCodec Codec>
+class SessionShell
+{
+  using Tcp = boost::asio::ip::tcp;
+
+public:
+  SessionShell(GatewayConfig aConfig,
+               std::size_t aMaxSessions,
+               CatalogReader aReader,
+               ControlPort aControl)
+    : gateway_(std::move(aConfig))
+    , maxSessions_(aMaxSessions)
+    , reader_(std::move(aReader))
+    , control_(std::move(aControl))
+    , acceptor_(context_)
+    , timer_(context_)
+  {
+  }
+
+  Expected<bool> Listen(const std::string& aHost, std::uint16_t aPort)
+  {
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint(boost::asio::ip::make_address(aHost, error),
+                                 aPort);
+    if (!error) {
+      acceptor_.open(endpoint.protocol(), error);
+    }
+    if (!error) {
+      acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+      acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(kBacklog, error);
+    }
+    if (error) {
+      return MakeError(
+        ErrorKind::Network,
+        fmt::format("can't listen on {}:{}: {}; choose a free port of this VM",
+                    aHost,
+                    aPort,
+                    error.message()));
+    }
+    Accept();
+    Tick();
+    return true;
+  }
+
+  boost::asio::io_context& Context() { return context_; }
+  const Gateway& Node() const { return gateway_; }
+  void Run() { context_.run(); }
+
+  // The control thread's view of this one.
+  TrafficPort Port()
+  {
+    TrafficPort port;
+    port.setView_ = [this](FleetViewPtr aView, std::vector<wire::Vm>) {
+      Post([this, view = std::move(aView)] { TakeView(view); });
+    };
+    port.drain_ = [this](bool aOn) {
+      Post([this, aOn] {
+        if (aOn) {
+          Step(TakeGatewayDrain{});
+        }
+      });
+    };
+    port.whenIdle_ = [this](std::function<void()> aCallback) {
+      Post([this, callback = std::move(aCallback)] { whenIdle_ = callback; });
+    };
+    port.collectMetrics_ = [this](std::function<void(std::string)> aCallback) {
+      Post([this, callback = std::move(aCallback)] {
+        callback(metrics_.Write(gateway_, ReadClock()));
+      });
+    };
+    port.collectUpstreams_ =
+      [](std::function<void(std::vector<UpstreamFigures>)> aCallback) {
+        aCallback({});
+      };
+    port.grant_ = [this](wire::LeaseGrant aGrant) {
+      Post([this, grant = std::move(aGrant)] { Step(TakeGrant{ grant }); });
+    };
+    port.revoke_ = [this](wire::LeaseRevoke aRevoke) {
+      Post([this, revoke = std::move(aRevoke)] {
+        Step(TakeRevocation{ revoke });
+      });
+    };
+    return port;
+  }
+
+  // From any thread.
+  void Stop()
+  {
+    Post([this] { context_.stop(); });
+  }
+
+private:
+  static constexpr int kBacklog = 1024;
+  static constexpr std::size_t kReadBytes = 4096;
+  static constexpr std::size_t kMaxUnsent = 4UL * 1024 * 1024; // then closed
+  // A peer that acknowledges nothing for so long is gone.
+  static constexpr int kUserTimeoutMs = 3000;
+
+  // One TCP connection, to a caller or to a server.
+  template<typename Parser>
+  struct Wire
+  {
+    explicit Wire(Tcp::socket aSocket)
+      : socket_(std::move(aSocket))
+    {
+    }
+
+    Tcp::socket socket_;
+    Parser parser_;
+    std::array<char, kReadBytes> chunk_{};
+    std::string unsent_;
+    std::string sending_;
+    bool opened_ = false;  // a session or connection is established
+    bool closing_ = false; // ends once all is sent
+    bool dead_ = false;
+  };
+  using Caller = Wire<typename Codec::CallerParser>;
+  using Server = Wire<typename Codec::ServerParser>;
+
+  template<typename Function>
+  void Post(Function aFunction)
+  {
+    boost::asio::post(context_, std::move(aFunction));
+  }
+
+  void Tick()
+  {
+    Step(TakeGatewayTick{});
+    for (const auto& sample : gateway_.TakeSamples()) {
+      metrics_.Note(sample);
+    }
+    FlushLog();
+    if (whenIdle_ && gateway_.IsIdle()) {
+      std::exchange(whenIdle_, nullptr)();
+    }
+    const Time now = ReadClock();
+    timer_.expires_after(gateway_.NextWake(now) - now);
+    timer_.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        Tick();
+      }
+    });
+  }
+
+  void TakeView(const FleetViewPtr& aView)
+  {
+    TakeFleet fleet{ aView, nullptr };
+    if (aView->documentVersion_ > documentVersion_) {
+      fleet.catalog_ = reader_(aView->documentVersion_, *aView->document_);
+      documentVersion_ = aView->documentVersion_;
+    }
+    Step(std::move(fleet));
+  }
+
+  void Step(GatewayEvent aEvent)
+  {
+    GatewayActions actions;
+    gateway_.Step(std::move(aEvent), ReadClock(), actions);
+    for (auto& action : actions) {
+      std::visit([this](auto& aCase) { Perform(aCase); }, action);
+    }
+    Flush();
+  }
+
+  // Sends what has been written to connections since the last time.
+  void Flush()
+  {
+    for (const SessionId id : std::exchange(dirtyCallers_, {})) {
+      if (const auto found = callers_.find(id); found != callers_.end()) {
+        const auto caller = found->second;
+        Send(caller, [this, id] { EndCaller(id); });
+      }
+    }
+    for (const ServerLinkId id : std::exchange(dirtyServers_, {})) {
+      if (const auto found = servers_.find(id); found != servers_.end()) {
+        const auto server = found->second;
+        Send(server, [this, id] { LoseServer(id); });
+      }
+    }
+  }
+
+  // ---- Bytes
+
+  // Writes what the socket takes at once, and the rest when it can. `aLost`
+  // is called later if the connection is broken, or closed when all is sent.
+  template<typename WirePtr, typename Lost>
+  void Send(const WirePtr& aWire, Lost aLost)
+  {
+    if (!aWire->sending_.empty() || aWire->dead_) {
+      return;
+    }
+    boost::system::error_code error;
+    while (!aWire->unsent_.empty() && !error) {
+      const std::size_t sent =
+        aWire->socket_.write_some(boost::asio::buffer(aWire->unsent_), error);
+      aWire->unsent_.erase(0, sent);
+    }
+    const bool broken = error && error != boost::asio::error::would_block;
+    if (broken || (aWire->closing_ && aWire->unsent_.empty()) ||
+        aWire->unsent_.size() > kMaxUnsent) {
+      aWire->dead_ = true;
+      Post(std::move(aLost));
+      return;
+    }
+    if (aWire->unsent_.empty()) {
+      return;
+    }
+    aWire->sending_ = std::exchange(aWire->unsent_, {});
+    boost::asio::async_write(
+      aWire->socket_,
+      boost::asio::buffer(aWire->sending_),
+      [this, aWire, lost = std::move(aLost)](boost::system::error_code aError,
+                                             std::size_t) mutable {
+        aWire->sending_.clear();
+        if (aError) {
+          aWire->dead_ = true;
+          lost();
+        } else {
+          Send(aWire, std::move(lost));
+        }
+      });
+  }
+
+  static void SetOptions(Tcp::socket& aSocket)
+  {
+    using UserTimeout =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                  TCP_USER_TIMEOUT>;
+    boost::system::error_code ignored;
+    aSocket.set_option(Tcp::no_delay(true), ignored);
+    aSocket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+    aSocket.non_blocking(true, ignored);
+  }
+
+  // ---- Callers
+
+  void Accept()
+  {
+    acceptor_.async_accept(
+      [this](boost::system::error_code aError, Tcp::socket aSocket) {
+        if (!aError && callers_.size() < maxSessions_) {
+          SetOptions(aSocket);
+          const SessionId id = nextSession_++;
+          auto caller = std::make_shared<Caller>(std::move(aSocket));
+          callers_[id] = caller;
+          ReadCaller(id, caller);
+        }
+        if (acceptor_.is_open()) {
+          Accept();
+        }
+      });
+  }
+
+  void ReadCaller(SessionId aId, const std::shared_ptr<Caller>& aCaller)
+  {
+    aCaller->socket_.async_read_some(
+      boost::asio::buffer(aCaller->chunk_),
+      [this, aId, aCaller](boost::system::error_code aError,
+                           std::size_t aCount) {
+        if (aCaller->dead_) {
+          return;
+        }
+        if (aError) {
+          EndCaller(aId);
+          return;
+        }
+        aCaller->parser_.Push({ aCaller->chunk_.data(), aCount });
+        while (auto message = aCaller->parser_.Next()) {
+          TakeCaller(aId, *aCaller, std::move(*message));
+          if (aCaller->dead_ || aCaller->closing_) {
+            return;
+          }
+        }
+        ReadCaller(aId, aCaller);
+      });
+  }
+
+  void TakeCaller(SessionId aId, Caller& aCaller, CallerMessage aMessage)
+  {
+    switch (aMessage.kind_) {
+      case CallerMessage::Kind::Open:
+        if (aCaller.opened_) {
+          RefuseCaller(aId, SessionError::Malformed);
+          return;
+        }
+        aCaller.opened_ = true;
+        Step(TakeSession{ aId, std::move(aMessage.database_) });
+        return;
+      case CallerMessage::Kind::Statement:
+        if (!aCaller.opened_) {
+          RefuseCaller(aId, SessionError::Malformed);
+          return;
+        }
+        Step(TakeStatement{ aId, std::move(aMessage.statement_) });
+        return;
+      case CallerMessage::Kind::Close:
+        EndCaller(aId);
+        return;
+      case CallerMessage::Kind::TooLarge:
+        RefuseCaller(aId, SessionError::TooLarge);
+        return;
+      case CallerMessage::Kind::Unreadable:
+        RefuseCaller(aId, SessionError::Malformed);
+        return;
+    }
+  }
+
+  // Bytes that can't be answered any other way.
+  void RefuseCaller(SessionId aId, SessionError aError)
+  {
+    LogEvent(Event::SessionRefused,
+             "session={} reason={}",
+             aId,
+             aError == SessionError::TooLarge ? "too_large" : "unreadable");
+    Step(TakeSessionEnd{ aId });
+    RefuseSession refusal{ aId, aError };
+    Perform(refusal);
+    Flush();
+  }
+
+  void EndCaller(SessionId aId)
+  {
+    const auto found = callers_.find(aId);
+    if (found == callers_.end()) {
+      return;
+    }
+    const auto caller = found->second;
+    callers_.erase(found);
+    Shut(*caller);
+    Step(TakeSessionEnd{ aId });
+  }
+
+  template<typename AnyWire>
+  static void Shut(AnyWire& aWire)
+  {
+    aWire.dead_ = true;
+    boost::system::error_code ignored;
+    aWire.socket_.shutdown(Tcp::socket::shutdown_both, ignored);
+    aWire.socket_.close(ignored);
+  }
+
+  template<typename Write>
+  void ToCaller(SessionId aId, Write aWrite)
+  {
+    const auto found = callers_.find(aId);
+    if (found != callers_.end()) {
+      aWrite(*found->second);
+      dirtyCallers_.push_back(aId);
+    }
+  }
+
+  void Perform(AcceptSession& aAction)
+  {
+    ToCaller(aAction.session_,
+             [](Caller& aCaller) { Codec::WriteAccepted(aCaller.unsent_); });
+  }
+
+  void Perform(RefuseSession& aAction)
+  {
+    ToCaller(aAction.session_, [&](Caller& aCaller) {
+      Codec::WriteRefused(aCaller.unsent_, aAction.error_);
+      aCaller.closing_ = true;
+    });
+  }
+
+  void Perform(CloseSession& aAction)
+  {
+    ToCaller(aAction.session_,
+             [](Caller& aCaller) { aCaller.closing_ = true; });
+  }
+
+  void Perform(ReplySession& aAction)
+  {
+    ToCaller(aAction.session_, [&](Caller& aCaller) {
+      Codec::WriteReply(aCaller.unsent_, aAction.reply_);
+    });
+  }
+
+  // ---- Servers
+
+  void Perform(OpenServerLink& aAction)
+  {
+    const ServerLinkId id = aAction.link_;
+    auto server = std::make_shared<Server>(Tcp::socket(context_));
+    servers_[id] = server;
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint(
+      boost::asio::ip::make_address(aAction.host_, error), aAction.port_);
+    if (error) {
+      Post([this, id] { LoseServer(id); });
+      return;
+    }
+    server->socket_.async_connect(
+      endpoint,
+      [this, id, server, group = aAction.group_, name = aAction.server_](
+        boost::system::error_code aError) {
+        if (server->dead_) {
+          return;
+        }
+        if (aError) {
+          LoseServer(id);
+          return;
+        }
+        SetOptions(server->socket_);
+        Codec::WriteOpen(server->unsent_, group, name);
+        Send(server, [this, id] { LoseServer(id); });
+        ReadServer(id, server);
+      });
+  }
+
+  void ReadServer(ServerLinkId aId, const std::shared_ptr<Server>& aServer)
+  {
+    aServer->socket_.async_read_some(
+      boost::asio::buffer(aServer->chunk_),
+      [this, aId, aServer](boost::system::error_code aError,
+                           std::size_t aCount) {
+        if (aServer->dead_) {
+          return;
+        }
+        if (aError) {
+          LoseServer(aId);
+          return;
+        }
+        aServer->parser_.Push({ aServer->chunk_.data(), aCount });
+        while (auto message = aServer->parser_.Next()) {
+          TakeServer(aId, *aServer, std::move(*message));
+          if (aServer->dead_) {
+            return;
+          }
+        }
+        ReadServer(aId, aServer);
+      });
+  }
+
+  void TakeServer(ServerLinkId aId, Server& aServer, ServerMessage aMessage)
+  {
+    if (aMessage.kind_ == ServerMessage::Kind::Unreadable) {
+      LoseServer(aId);
+    } else if (aServer.opened_) {
+      Step(ServerLinkAnswered{ aId, std::move(aMessage.answer_) });
+    } else if (aMessage.answer_.error_) {
+      LoseServer(aId, aMessage.answer_.error_);
+    } else {
+      aServer.opened_ = true;
+      Step(ServerLinkOpened{ aId });
+    }
+  }
+
+  void LoseServer(ServerLinkId aId,
+                  std::optional<SessionError> aError = std::nullopt)
+  {
+    const auto found = servers_.find(aId);
+    if (found == servers_.end()) {
+      return;
+    }
+    const auto server = found->second;
+    servers_.erase(found);
+    Shut(*server);
+    if (!aError && !server->opened_) {
+      aError = server->parser_.PendingError();
+    }
+    Step(ServerLinkLost{ aId, aError });
+  }
+
+  void Perform(SendServerLink& aAction)
+  {
+    const auto found = servers_.find(aAction.link_);
+    if (found != servers_.end()) {
+      Codec::WriteCommand(found->second->unsent_, aAction.command_);
+      dirtyServers_.push_back(aAction.link_);
+    }
+  }
+
+  void Perform(CloseServerLink& aAction)
+  {
+    const auto found = servers_.find(aAction.link_);
+    if (found != servers_.end()) {
+      Shut(*found->second);
+      servers_.erase(found);
+    }
+  }
+
+  // ---- The control thread, the log
+
+  void Perform(SendLeaseRequest& aAction)
+  {
+    control_.requestLeases_(std::move(aAction.request_));
+  }
+
+  void Perform(SendLeaseRelease& aAction)
+  {
+    control_.releaseLeases_(std::move(aAction.release_));
+  }
+
+  void Perform(ReportSuspicion& aAction)
+  {
+    control_.suspect_(std::move(aAction.suspicion_));
+  }
+
+  void Perform(WriteNote& aAction)
+  {
+    WriteEvent(aAction.event_, aAction.text_);
+  }
+
+  boost::asio::io_context context_{ 1 };
+  Gateway gateway_;
+  GatewayMetrics metrics_;
+  std::size_t maxSessions_;
+  CatalogReader reader_;
+  ControlPort control_;
+  Tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
+  std::unordered_map<SessionId, std::shared_ptr<Caller>> callers_;
+  std::unordered_map<ServerLinkId, std::shared_ptr<Server>> servers_;
+  std::vector<SessionId> dirtyCallers_;
+  std::vector<ServerLinkId> dirtyServers_;
+  std::function<void()> whenIdle_;
+  std::uint64_t documentVersion_ = 0;
+  SessionId nextSession_ = 1;
+};
+
+} // namespace jaydoor
--- a/daemon/Settings.h
+++ b/daemon/Settings.h
@@ -26,6 +26,9 @@
   std::vector<wire::Vm> peers_;     // VMs to join through
   std::vector<std::string> voters_; // VMs that have a data folder
   std::string dataFolder_;          // empty: this VM does not vote
+  std::size_t voterCount_ = 0;      // voters wanted; 0: all with a data folder
+  bool mayFound_ = true;            // a blank fleet may found its state
+  bool outsidePromotion_ = false;   // an outside service promotes primaries
   std::vector<std::string> sessionKeys_; // the first one signs
   std::string operatorSecret_;           //
   std::string announceSecret_;           // empty: announcements need none
--- a/daemon/TrafficShell.cpp
+++ b/daemon/TrafficShell.cpp
@@ -102,14 +102,14 @@
   // Waits for the node's next time, unless an earlier wait stands.
   void Schedule()
   {
-    const Time next = node_.NextWake(ReadClock());
+    const Time now = ReadClock();
+    const Time next = node_.NextWake(now);
     if (next >= wakeAt_ && waiting_) {
       return;
     }
     wakeAt_ = next;
     waiting_ = true;
-    timer_.expires_at(
-      std::chrono::steady_clock::time_point(next.time_since_epoch()));
+    timer_.expires_after(next - now);
     timer_.async_wait([this](boost::system::error_code aError) {
       if (!aError) {
         waiting_ = false;
@@ -417,4 +417,25 @@
   });
 }
 
+TrafficPort
+TrafficShell::Port()
+{
+  TrafficPort port;
+  port.setView_ = [this](FleetViewPtr aView, std::vector<wire::Vm> aVms) {
+    SetView(std::move(aView), std::move(aVms));
+  };
+  port.drain_ = [this](bool aOn) { Drain(aOn); };
+  port.whenIdle_ = [this](std::function<void()> aCallback) {
+    WhenIdle(std::move(aCallback));
+  };
+  port.collectMetrics_ = [this](std::function<void(std::string)> aCallback) {
+    CollectMetrics(std::move(aCallback));
+  };
+  port.collectUpstreams_ =
+    [this](std::function<void(std::vector<UpstreamFigures>)> aCallback) {
+      CollectUpstreams(std::move(aCallback));
+    };
+  return port;
+}
+
 } // namespace jaydoor
--- a/daemon/TrafficShell.h
+++ b/daemon/TrafficShell.h
@@ -3,6 +3,7 @@
 // Drives a TrafficNode on the traffic thread: callers over HTTP, owners over
 // links, upstreams over HTTP, and the clock.
 
+#include "daemon/ControlShell.h"
 #include "daemon/Http.h"
 #include "daemon/Settings.h"
 #include "traffic/TrafficNode.h"
@@ -36,17 +37,12 @@
   // Calls back on the traffic thread with the metrics text.
   void CollectMetrics(std::function<void(std::string)> aCallback);
   // Calls back on the traffic thread with what is known of the upstreams.
-  struct UpstreamFigures
-  {
-    ServerId server_;
-    LogPoint point_;
-    bool unreachable_ = false;
-    std::size_t queued_ = 0;
-    std::size_t connections_ = 0;
-  };
   void CollectUpstreams(
     std::function<void(std::vector<UpstreamFigures>)> aCallback);
 
+  // This thread as the control thread needs it.
+  TrafficPort Port();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/daemon/jaydoord_main.cpp
+++ b/daemon/jaydoord_main.cpp
@@ -7,10 +7,12 @@
 #include "daemon/ControlShell.h"
 #include "daemon/Settings.h"
 #include "daemon/TrafficShell.h"
+#include "platform/PlatformNode.h"
 
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <string_view>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -54,7 +56,7 @@
   TrafficShell traffic(aSettings, [&control](wire::Suspicion aSuspicion) {
     control->Suspect(std::move(aSuspicion));
   });
-  control = std::make_unique<ControlShell>(aSettings, traffic);
+  control = std::make_unique<ControlShell>(aSettings, traffic.Port());
   for (const auto& started : { traffic.Start(), control->Start() }) {
     if (!started) {
       return Refuse(Event::SettingRefused, started.error());
@@ -91,6 +93,12 @@
 int
 main(int aCount, char** aArguments)
 {
+  // "jaydoord platform [check]": settings come from the platform's file.
+  if (aCount >= 2 && std::string_view(aArguments[1]) == "platform") {
+    const bool check =
+      aCount >= 3 && std::string_view(aArguments[2]) == "check";
+    return platform::RunNode(check);
+  }
   const auto settings = ReadSettings(aCount, aArguments);
   if (!settings) {
     return Refuse(Event::SettingRefused, settings.error());
--- /dev/null
+++ b/gateway/GatewayLeases.cpp
@@ -0,0 +1,182 @@
+// Leases on primaries, as a holder.
+//
+// While a lease runs, no other server can have become the primary. It is
+// checked when a statement is sent, and again before a write is acknowledged.
+// When the leader wants it back, nothing new is sent, what runs may finish
+// for a moment, open transactions are ended, and then it is given back.
+
+#include "gateway/Gateway.h"
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr Duration kAskEvery = 400ms;    // far below a lease's length
+constexpr Duration kAskSoon = 50ms;      // while a primary has no lease
+constexpr Duration kReleaseWait = 250ms; // running statements may finish
+constexpr Duration kLeaseMargin = 20ms;  // from a check to what it allows
+
+} // namespace
+
+bool
+Gateway::HoldsLease(const Group& aGroup, std::uint64_t aTerm, Time aNow) const
+{
+  return aTerm != 0 && aGroup.lease_.term_ == aTerm &&
+         aNow + kLeaseMargin < aGroup.lease_.until_;
+}
+
+std::size_t
+Gateway::CountLeases(Time aNow) const
+{
+  std::size_t count = 0;
+  for (const auto& [name, group] : groups_) {
+    count += HoldsLease(group, group.term_, aNow) ? 1U : 0U;
+  }
+  return count;
+}
+
+void
+Gateway::TickLeases(Time aNow, GatewayActions& aOut)
+{
+  bool missing = false;
+  for (auto& [name, group] : groups_) {
+    missing |= !group.servers_.empty() && !HoldsLease(group, group.term_, aNow);
+    if (group.releaseBy_ && aNow >= *group.releaseBy_) {
+      FinishRelease(name, aNow, aOut);
+    }
+  }
+  if (aNow >= leaseAskedAt_ + (missing ? kAskSoon : kAskEvery)) {
+    leaseAskedAt_ = aNow;
+    wire::LeaseRequest request;
+    request.set_sent_us(aNow.time_since_epoch().count());
+    request.set_incarnation(config_.incarnation_);
+    aOut.push_back(SendLeaseRequest{ std::move(request) });
+  }
+}
+
+void
+Gateway::Handle(TakeGrant& aEvent, Time aNow, GatewayActions& aOut)
+{
+  const wire::LeaseGrant& grant = aEvent.grant_;
+  if (grant.incarnation() != config_.incarnation_) {
+    return; // for a former run
+  }
+  holders_ = std::max<std::size_t>(1, grant.holders());
+  const Time askedAt{ Duration(grant.sent_us()) };
+  for (const auto& lease : grant.leases()) {
+    Group& group = groups_[lease.database()];
+    // A grant that was asked for before a lease was given back is void.
+    const bool isVoid =
+      lease.term() <= group.releasedTerm_ && askedAt <= group.releasedAt_;
+    if (isVoid || group.releaseBy_) {
+      continue;
+    }
+    const Time until = askedAt + Duration(grant.duration_us());
+    const bool gained = !HoldsLease(group, lease.term(), aNow);
+    const bool newer =
+      lease.term() > group.lease_.term_ ||
+      (lease.term() == group.lease_.term_ && until > group.lease_.until_);
+    if (!newer) {
+      continue;
+    }
+    group.lease_ = { lease.term(), lease.server(), until };
+    if (gained) {
+      dirty_.insert(lease.database());
+      aOut.push_back(
+        WriteNote{ Event::LeaseGained,
+                   fmt::format("database={} server={} term={} left_ms={}",
+                               lease.database(),
+                               lease.server(),
+                               lease.term(),
+                               CountMs(until - aNow)) });
+    }
+  }
+}
+
+void
+Gateway::Handle(TakeRevocation& aEvent, Time aNow, GatewayActions& aOut)
+{
+  for (const auto& lease : aEvent.revoke_.leases()) {
+    Group& group = groups_[lease.database()];
+    if (lease.term() < group.term_ && lease.term() < group.lease_.term_) {
+      continue; // delayed: that primary is long replaced
+    }
+    if (!group.releaseBy_) {
+      aOut.push_back(WriteNote{ Event::LeaseRevoked,
+                                fmt::format("database={} server={} term={}",
+                                            lease.database(),
+                                            lease.server(),
+                                            lease.term()) });
+      group.releaseBy_ = aNow + kReleaseWait;
+      group.changing_ = true;
+    }
+    group.releasedTerm_ = std::max(group.releasedTerm_, lease.term());
+    EndLeasedTransactions(lease.database(), aNow, aOut);
+    if (!IsLeaseUsed(lease.database(), group.releasedTerm_)) {
+      FinishRelease(lease.database(), aNow, aOut);
+    }
+  }
+}
+
+// True while a write or a transaction that was sent under the lease runs.
+bool
+Gateway::IsLeaseUsed(const DatabaseId& aGroup, std::uint64_t aTerm) const
+{
+  for (const auto& [id, work] : work_) {
+    const bool uses = work.route_.group_ == aGroup && work.term_ != 0 &&
+                      work.term_ <= aTerm && !work.links_.empty();
+    if (uses) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+Gateway::EndLeasedTransactions(const DatabaseId& aGroup,
+                               Time aNow,
+                               GatewayActions& aOut)
+{
+  std::vector<SessionId> ended;
+  for (const auto& [id, session] : sessions_) {
+    const bool ends = session.link_ != 0 && session.txTerm_ != 0 &&
+                      session.work_ == 0 && session.route_.group_ == aGroup;
+    if (ends) {
+      ended.push_back(id);
+    }
+  }
+  for (const SessionId id : ended) {
+    LoseTransaction(id, "change of primary", aNow, aOut);
+  }
+}
+
+// From here on the lease counts for nothing, whatever still runs.
+void
+Gateway::FinishRelease(const DatabaseId& aGroup,
+                       Time aNow,
+                       GatewayActions& aOut)
+{
+  Group& group = groups_.at(aGroup);
+  group.releaseBy_.reset();
+  group.releasedAt_ = aNow;
+  wire::LeaseRelease release;
+  release.set_incarnation(config_.incarnation_);
+  wire::PrimaryLease& lease = *release.add_leases();
+  lease.set_database(aGroup);
+  lease.set_server(group.lease_.server_);
+  lease.set_term(group.releasedTerm_);
+  if (group.lease_.term_ <= group.releasedTerm_) {
+    group.lease_.until_ = Time{};
+  }
+  EndLeasedTransactions(aGroup, aNow, aOut);
+  aOut.push_back(
+    WriteNote{ Event::LeaseReleased,
+               fmt::format("database={} term={} still_running={}",
+                           aGroup,
+                           group.releasedTerm_,
+                           IsLeaseUsed(aGroup, group.releasedTerm_)) });
+  aOut.push_back(SendLeaseRelease{ std::move(release) });
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/gateway/GatewaySessions.cpp
@@ -0,0 +1,401 @@
+// Callers' sessions: what is answered here, and what becomes work for a server.
+
+#include "gateway/Gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr std::size_t kMaxInbox = 64;   // statements sent ahead
+constexpr std::size_t kMaxNames = 4096; // values or prepared statements
+constexpr double kHoldShare = 0.45; // of the limit; then a retry elsewhere pays
+
+bool
+IsSingleWrite(const SessionStatement& aStatement,
+              bool aPreparedWrites,
+              bool aInside)
+{
+  const bool writes =
+    aStatement.kind_ == StatementKind::Write ||
+    (aStatement.kind_ == StatementKind::Execute && aPreparedWrites);
+  return writes && !aInside;
+}
+
+} // namespace
+
+Gateway::Gateway(GatewayConfig aConfig)
+  : config_(std::move(aConfig))
+{
+}
+
+void
+Gateway::Step(GatewayEvent aEvent, Time aNow, GatewayActions& aOut)
+{
+  std::visit([&](auto& aCase) { Handle(aCase, aNow, aOut); }, aEvent);
+  while (!dirty_.empty()) {
+    const DatabaseId group = *dirty_.begin();
+    dirty_.erase(dirty_.begin());
+    Dispatch(group, aNow, aOut);
+  }
+}
+
+Gateway::Server*
+Gateway::FindServer(const ServerId& aServer)
+{
+  const auto found = servers_.find(aServer);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+Gateway::Group*
+Gateway::FindGroup(const DatabaseId& aGroup)
+{
+  const auto found = groups_.find(aGroup);
+  return found == groups_.end() ? nullptr : &found->second;
+}
+
+std::vector<GatewaySample>
+Gateway::TakeSamples()
+{
+  return std::exchange(samples_, {});
+}
+
+// ---- Sessions come and go
+
+void
+Gateway::Handle(TakeSession& aEvent, Time, GatewayActions& aOut)
+{
+  const bool known = catalog_ && catalog_->Find(aEvent.database_) != nullptr;
+  if (!known) {
+    aOut.push_back(WriteNote{
+      Event::SessionRefused,
+      fmt::format("session={} database={} catalog={} reason=no_such_database",
+                  aEvent.session_,
+                  aEvent.database_,
+                  catalog_ ? catalog_->version_ : 0) });
+    aOut.push_back(RefuseSession{ aEvent.session_, SessionError::NoDatabase });
+    return;
+  }
+  counters_.sessions_++;
+  sessions_[aEvent.session_].database_ = std::move(aEvent.database_);
+  aOut.push_back(AcceptSession{ aEvent.session_ });
+}
+
+void
+Gateway::Handle(TakeSessionEnd& aEvent, Time aNow, GatewayActions& aOut)
+{
+  const auto found = sessions_.find(aEvent.session_);
+  if (found == sessions_.end()) {
+    return;
+  }
+  const Session session = std::move(found->second);
+  sessions_.erase(found);
+  if (session.work_ != 0) {
+    Work& work = work_.at(session.work_);
+    if (work.queued_) {
+      DropWork(session.work_);
+    } else {
+      work.session_ = 0; // what runs is left to finish
+    }
+  }
+  const auto link = links_.find(session.link_);
+  if (link != links_.end()) {
+    link->second.session_ = 0;
+    if (link->second.sent_.empty()) {
+      ReleaseLink(session.link_, aNow, aOut);
+    } else {
+      link->second.state_ = LinkState::Ending;
+    }
+  }
+}
+
+// ---- Statements
+
+TransactionState
+Gateway::StateOf(const Session& aSession) const
+{
+  switch (aSession.tx_) {
+    case TxState::None:
+      return TransactionState::Idle;
+    case TxState::Begun:
+    case TxState::Open:
+      return TransactionState::Open;
+    case TxState::Failed:
+      return TransactionState::Failed;
+  }
+  return TransactionState::Idle;
+}
+
+void
+Gateway::Reply(SessionId aId, SessionReply aReply, GatewayActions& aOut)
+{
+  const auto found = sessions_.find(aId);
+  if (found == sessions_.end()) {
+    return;
+  }
+  aReply.state_ = StateOf(found->second);
+  aOut.push_back(ReplySession{ aId, std::move(aReply) });
+}
+
+void
+Gateway::ReplyError(SessionId aId,
+                    SessionError aError,
+                    std::string aText,
+                    GatewayActions& aOut)
+{
+  SessionReply reply;
+  reply.error_ = aError;
+  reply.errorText_ = std::move(aText);
+  Reply(aId, std::move(reply), aOut);
+}
+
+void
+Gateway::Handle(TakeStatement& aEvent, Time aNow, GatewayActions& aOut)
+{
+  const auto found = sessions_.find(aEvent.session_);
+  if (found == sessions_.end()) {
+    return;
+  }
+  Session& session = found->second;
+  if (session.work_ == 0 && session.inbox_.empty()) {
+    RunStatement(aEvent.session_, std::move(aEvent.statement_), aNow, aOut);
+    return;
+  }
+  if (session.inbox_.size() >= kMaxInbox) {
+    aOut.push_back(CloseSession{ aEvent.session_ });
+    TakeSessionEnd end{ aEvent.session_ };
+    Handle(end, aNow, aOut);
+    return;
+  }
+  session.inbox_.push_back(std::move(aEvent.statement_));
+}
+
+// Goes on with what the caller sent ahead.
+void
+Gateway::RunInbox(SessionId aId, Time aNow, GatewayActions& aOut)
+{
+  while (true) {
+    const auto found = sessions_.find(aId);
+    const bool idle = found != sessions_.end() && found->second.work_ == 0 &&
+                      !found->second.inbox_.empty();
+    if (!idle) {
+      return;
+    }
+    SessionStatement next = std::move(found->second.inbox_.front());
+    found->second.inbox_.pop_front();
+    RunStatement(aId, std::move(next), aNow, aOut);
+  }
+}
+
+void
+Gateway::RunStatement(SessionId aId,
+                      SessionStatement aStatement,
+                      Time aNow,
+                      GatewayActions& aOut)
+{
+  Session& session = sessions_.at(aId);
+  counters_.statements_++;
+  const StatementKind kind = aStatement.kind_;
+  const bool ends =
+    kind == StatementKind::Rollback || kind == StatementKind::Commit;
+  if (session.tx_ == TxState::Failed && !ends) {
+    ReplyError(aId, SessionError::Malformed, "end the transaction first", aOut);
+    return;
+  }
+  if (session.tx_ == TxState::Failed || kind == StatementKind::Rollback) {
+    if (session.tx_ == TxState::None) {
+      ReplyError(aId, SessionError::Malformed, "no transaction is open", aOut);
+      return;
+    }
+    const bool lost =
+      session.tx_ == TxState::Failed && kind == StatementKind::Commit;
+    EndTransaction(aId, aNow, aOut);
+    if (lost) {
+      ReplyError(aId, SessionError::Aborted, "rolled back", aOut);
+    } else {
+      Reply(aId, {}, aOut);
+    }
+    return;
+  }
+  switch (kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginRead:
+    case StatementKind::Set:
+    case StatementKind::Prepare:
+    case StatementKind::Deallocate:
+    case StatementKind::Malformed:
+      RunLocal(aId, aStatement, aOut);
+      session.txIdleSince_ = aNow;
+      return;
+    default:
+      break;
+  }
+  if (kind == StatementKind::Commit && session.tx_ == TxState::None) {
+    ReplyError(aId, SessionError::Malformed, "no transaction is open", aOut);
+    return;
+  }
+  const bool unknown = kind == StatementKind::Execute &&
+                       !session.prepared_.contains(aStatement.name_);
+  if (unknown) {
+    if (session.tx_ != TxState::None) {
+      session.tx_ = TxState::Failed;
+    }
+    ReplyError(aId, SessionError::NoStatement, aStatement.name_, aOut);
+    return;
+  }
+  StartWork(aId, std::move(aStatement), aNow, aOut);
+}
+
+// Values, names and begins cost no server anything until they are used.
+void
+Gateway::RunLocal(SessionId aId,
+                  const SessionStatement& aStatement,
+                  GatewayActions& aOut)
+{
+  Session& session = sessions_.at(aId);
+  SessionReply reply;
+  switch (aStatement.kind_) {
+    case StatementKind::Begin:
+    case StatementKind::BeginRead: {
+      const CatalogDatabase* route =
+        catalog_ ? catalog_->Find(session.database_) : nullptr;
+      if (session.tx_ != TxState::None) {
+        reply.error_ = SessionError::Malformed;
+        reply.errorText_ = "a transaction is open";
+      } else if (route == nullptr) {
+        reply.error_ = SessionError::NoDatabase;
+        reply.errorText_ = session.database_;
+      } else {
+        session.route_ = *route;
+        session.tx_ = TxState::Begun;
+        session.txReads_ = aStatement.kind_ == StatementKind::BeginRead;
+      }
+      break;
+    }
+    case StatementKind::Set:
+      if (session.values_.size() < kMaxNames) {
+        session.values_[aStatement.name_] = aStatement.argument_;
+      } else {
+        reply.error_ = SessionError::TooLarge;
+      }
+      break;
+    case StatementKind::Prepare:
+      if (session.prepared_.size() < kMaxNames) {
+        session.prepared_[aStatement.name_] = { aStatement.writes_,
+                                                aStatement.argument_ };
+      } else {
+        reply.error_ = SessionError::TooLarge;
+      }
+      break;
+    case StatementKind::Deallocate:
+      if (session.prepared_.erase(aStatement.name_) == 0) {
+        reply.error_ = SessionError::NoStatement;
+        reply.errorText_ = aStatement.name_;
+      }
+      break;
+    default:
+      reply.error_ = SessionError::Malformed;
+      reply.errorText_ = "not a statement";
+      break;
+  }
+  Reply(aId, std::move(reply), aOut);
+}
+
+// The caller gives the transaction up: the server is told in the background.
+void
+Gateway::EndTransaction(SessionId aId, Time aNow, GatewayActions& aOut)
+{
+  Session& session = sessions_.at(aId);
+  session.tx_ = TxState::None;
+  session.txLost_ = false;
+  const ServerLinkId link = std::exchange(session.link_, 0);
+  session.txTerm_ = 0;
+  if (const auto found = links_.find(link); found != links_.end()) {
+    found->second.session_ = 0;
+    ReleaseLink(link, aNow, aOut);
+  }
+}
+
+// The server side of the transaction is gone, and nothing of it is kept. The
+// caller hears of it with its next statement.
+void
+Gateway::LoseTransaction(SessionId aId,
+                         std::string_view aCause,
+                         Time aNow,
+                         GatewayActions& aOut)
+{
+  Session& session = sessions_.at(aId);
+  counters_.transactionsLost_++;
+  aOut.push_back(WriteNote{
+    Event::TransactionLost,
+    fmt::format(
+      "session={} database={} cause=\"{}\"", aId, session.database_, aCause) });
+  const ServerLinkId link = std::exchange(session.link_, 0);
+  session.txTerm_ = 0;
+  session.txLost_ = true;
+  if (const auto found = links_.find(link); found != links_.end()) {
+    found->second.session_ = 0;
+    ReleaseLink(link, aNow, aOut);
+  }
+}
+
+void
+Gateway::StartWork(SessionId aId,
+                   SessionStatement aStatement,
+                   Time aNow,
+                   GatewayActions& aOut)
+{
+  Session& session = sessions_.at(aId);
+  const bool inside = session.tx_ != TxState::None;
+  if (inside && session.txLost_) {
+    session.txLost_ = false;
+    session.tx_ = aStatement.kind_ == StatementKind::Commit ? TxState::None
+                                                            : TxState::Failed;
+    ReplyError(aId, SessionError::Aborted, "the transaction was ended", aOut);
+    return;
+  }
+  if (!inside) {
+    const CatalogDatabase* route =
+      catalog_ ? catalog_->Find(session.database_) : nullptr;
+    if (route == nullptr) {
+      ReplyError(aId, SessionError::NoDatabase, session.database_, aOut);
+      return;
+    }
+    session.route_ = *route;
+  }
+  const bool preparedWrites = aStatement.kind_ == StatementKind::Execute &&
+                              session.prepared_.at(aStatement.name_).writes_;
+  const WorkId id = nextWork_++;
+  Work& work = work_[id];
+  work.session_ = aId;
+  work.route_ = session.route_;
+  work.first_ = session.tx_ == TxState::Begun;
+  const bool single = IsSingleWrite(aStatement, preparedWrites, inside);
+  work.writes_ = single || aStatement.kind_ == StatementKind::Commit;
+  work.reads_ = !inside && !single;
+  const bool readsOnly = inside ? session.txReads_ : !single;
+  work.primary_ =
+    !readsOnly || work.route_.consistency_ == Consistency::Primary;
+  work.arrivedAt_ = aNow;
+  work.deadline_ = aNow + work.route_.statementLimit_;
+  work.holdUntil_ =
+    aNow + std::min(work.route_.target_,
+                    Duration(static_cast<Duration::rep>(
+                      static_cast<double>(work.route_.statementLimit_.count()) *
+                      kHoldShare)));
+  work.statement_ = std::move(aStatement);
+  session.work_ = id;
+  if (session.tx_ == TxState::Open) {
+    // It goes on where the transaction is, ahead of what has not begun.
+    Place place;
+    place.server_ = links_.at(session.link_).server_;
+    SendWork(id, session.link_, place, aNow, aOut);
+    return;
+  }
+  Enqueue(id);
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/gateway/GatewayTick.cpp
@@ -0,0 +1,340 @@
+// What happens with time: limits of statements and transactions, second tries,
+// suspicions, silent connections, the end of this VM.
+
+#include "gateway/Gateway.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace jaydoor {
+namespace {
+
+constexpr Duration kBusyTick = 10ms;     // statements are under way
+constexpr Duration kIdleTick = 50ms;     //
+constexpr Duration kHedgeLeast = 120ms;  // twice the longest usual statement
+constexpr int kHedgeTimes = 5;           // the smoothed service time
+constexpr Duration kOpenLimit = 600ms;   // a connection that is being opened
+constexpr Duration kSilentAfter = 400ms; // a primary that does not answer
+constexpr Duration kReportEvery = 200ms; // a suspicion
+constexpr Duration kLinkLimit = 4s;      // a statement without any answer
+constexpr Duration kIdleLinkLimit = 50s; // servers close idle connections
+
+} // namespace
+
+Time
+Gateway::NextWake(Time aNow) const
+{
+  return aNow + (work_.empty() && !drainingSince_ ? kIdleTick : kBusyTick);
+}
+
+bool
+Gateway::IsReady() const
+{
+  return !drainingSince_ && catalog_ && catalog_->version_ > 0 && view_ &&
+         view_->proven_;
+}
+
+void
+Gateway::Handle(TakeGatewayTick&, Time aNow, GatewayActions& aOut)
+{
+  tickedAt_ = aNow;
+  TickWork(aNow, aOut);
+  TickSessions(aNow, aOut);
+  TickLinks(aNow, aOut);
+  TickLeases(aNow, aOut);
+  TickSuspicions(aNow, aOut);
+  TickDrain(aNow, aOut);
+  for (const auto& [name, group] : groups_) {
+    if (!group.queue_.empty()) {
+      dirty_.insert(name);
+    }
+  }
+}
+
+// ---- The fleet
+
+void
+Gateway::Handle(TakeFleet& aEvent, Time aNow, GatewayActions& aOut)
+{
+  view_ = std::move(aEvent.view_);
+  if (aEvent.catalog_) {
+    catalog_ = std::move(aEvent.catalog_);
+  }
+  for (auto& [name, group] : groups_) {
+    group.servers_.clear();
+  }
+  for (const auto& [name, database] : view_->databases_) {
+    Group& group = groups_[name];
+    group.servers_ = database.servers_;
+    group.changing_ = view_->changing_.contains(name);
+    if (group.term_ != database.term_) {
+      group.term_ = database.term_;
+      group.log_.SetTerm(database.term_);
+      EndLeasedTransactions(name, aNow, aOut);
+    }
+    group.primary_ = database.primary_;
+    dirty_.insert(name);
+  }
+  for (const auto& [id, server] : view_->servers_) {
+    Server& known = servers_[id];
+    const bool moved = !known.info_.host().empty() &&
+                       (known.info_.host() != server.info_.host() ||
+                        known.info_.port() != server.info_.port() ||
+                        known.info_.born_ms() != server.info_.born_ms());
+    if (moved) {
+      // Another run of it: connections to the former one are worth nothing.
+      known.failures_ = 0;
+      known.blockedUntil_ = Time{};
+      DropSilent(id, Time::max(), aOut);
+      aOut.push_back(WriteNote{ Event::ServerMoved,
+                                fmt::format("server={} host={} port={}",
+                                            id,
+                                            server.info_.host(),
+                                            server.info_.port()) });
+    }
+    known.info_ = server.info_;
+  }
+  // A server that is gone is forgotten once nothing of it is left.
+  std::vector<ServerId> gone;
+  for (const auto& [id, server] : servers_) {
+    if (!view_->servers_.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& id : gone) {
+    DropSilent(id, Time::max(), aOut);
+    if (servers_.at(id).links_.empty()) {
+      servers_.erase(id);
+    }
+  }
+}
+
+// ---- Statements
+
+void
+Gateway::TickWork(Time aNow, GatewayActions& aOut)
+{
+  struct Late
+  {
+    WorkId id_;
+    SessionError error_;
+    std::string_view cause_;
+  };
+  std::vector<Late> late;
+  std::vector<WorkId> hedge;
+  std::vector<WorkId> resend;
+  for (const auto& [id, work] : work_) {
+    if (work.resendAt_ && aNow >= *work.resendAt_) {
+      resend.push_back(id);
+      continue;
+    }
+    if (work.queued_ && work.links_.empty()) {
+      if (aNow >= work.holdUntil_) {
+        late.push_back({ id, SessionError::Overloaded, "no room in time" });
+      }
+      continue;
+    }
+    if (aNow >= work.deadline_) {
+      // Only a commit may have left something.
+      const SessionError error = work.writes_  ? SessionError::InDoubt
+                                 : work.reads_ ? SessionError::TimedOut
+                                               : SessionError::Aborted;
+      late.push_back({ id, error, "statement limit" });
+      continue;
+    }
+    if (!work.reads_ || work.hedged_ || work.links_.empty()) {
+      continue;
+    }
+    const Link& link = links_.at(*work.links_.begin());
+    const Duration usual = servers_.at(link.server_).service_ * kHedgeTimes;
+    const Duration limit =
+      std::max(kHedgeLeast, std::min(usual, work.route_.target_ / 2));
+    if (aNow - link.sentAt_ >= limit) {
+      hedge.push_back(id);
+    }
+  }
+  for (const auto& entry : late) {
+    const Work& work = work_.at(entry.id_);
+    const std::set<ServerLinkId> links = work.links_;
+    Refuse(entry.id_, entry.error_, std::string(entry.cause_), aNow, aOut);
+    for (const ServerLinkId id : links) {
+      const auto link = links_.find(id);
+      if (link != links_.end()) {
+        DropSilent(link->second.server_, link->second.sentAt_, aOut);
+      }
+    }
+  }
+  for (const WorkId id : hedge) {
+    Work& work = work_.at(id);
+    work.hedged_ = true;
+    counters_.hedged_++;
+    // Whoever is slow now is not asked twice.
+    work.tried_.insert(links_.at(*work.links_.begin()).server_);
+    Enqueue(id);
+  }
+  for (const WorkId id : resend) {
+    Work& work = work_.at(id);
+    work.resendAt_.reset();
+    const auto session = sessions_.find(work.session_);
+    if (session == sessions_.end() || session->second.link_ == 0) {
+      Refuse(id, SessionError::Aborted, "transaction ended", aNow, aOut);
+      continue;
+    }
+    const ServerLinkId link = session->second.link_;
+    SendWork(
+      id, link, Place{ links_.at(link).server_, {}, aNow, false }, aNow, aOut);
+  }
+}
+
+void
+Gateway::TickSessions(Time aNow, GatewayActions& aOut)
+{
+  const Duration limit = catalog_ ? catalog_->transactionIdle_ : 3s;
+  std::vector<SessionId> idle;
+  for (const auto& [id, session] : sessions_) {
+    const bool rests = session.link_ != 0 && session.work_ == 0 &&
+                       aNow - session.txIdleSince_ > limit;
+    if (rests) {
+      idle.push_back(id);
+    }
+  }
+  for (const SessionId id : idle) {
+    LoseTransaction(id, "idle", aNow, aOut);
+  }
+}
+
+// ---- Connections
+
+void
+Gateway::TickLinks(Time aNow, GatewayActions& aOut)
+{
+  std::vector<ServerLinkId> lost;
+  std::vector<ServerLinkId> old;
+  for (const auto& [id, link] : links_) {
+    const bool slowOpen =
+      link.state_ == LinkState::Opening && aNow - link.openedAt_ > kOpenLimit;
+    const bool silent = link.state_ != LinkState::Opening &&
+                        !link.sent_.empty() && aNow - link.sentAt_ > kLinkLimit;
+    if (slowOpen || silent) {
+      lost.push_back(id);
+    } else if (link.state_ == LinkState::Idle &&
+               aNow - link.heardAt_ > kIdleLinkLimit) {
+      old.push_back(id);
+    }
+  }
+  for (const ServerLinkId id : lost) {
+    const auto link = links_.find(id);
+    if (link == links_.end()) {
+      continue;
+    }
+    const ServerId server = link->second.server_;
+    if (link->second.state_ == LinkState::Opening) {
+      NoteFailure(server, aNow, "no answer to a new connection", aOut);
+    }
+    DropSilent(server, link->second.sentAt_, aOut);
+    CloseLink(id, aOut);
+    LoseLink(id, aNow, aOut);
+  }
+  for (const ServerLinkId id : old) {
+    Server& server = servers_.at(links_.at(id).server_);
+    std::erase(server.idle_, id);
+    server.links_.erase(id);
+    links_.erase(id);
+    CloseLink(id, aOut);
+  }
+}
+
+// ---- Suspicions
+
+// A primary that leaves statements and a new connection unanswered, or refuses
+// connections, is suspected. The leader counts who suspects it.
+void
+Gateway::TickSuspicions(Time aNow, GatewayActions& aOut)
+{
+  for (auto& [name, group] : groups_) {
+    Server* primary = FindServer(group.primary_);
+    if (primary == nullptr || group.term_ == 0) {
+      continue;
+    }
+    Time oldest = Time::max();
+    for (const ServerLinkId id : primary->links_) {
+      const Link& link = links_.at(id);
+      const bool waits = link.state_ != LinkState::Opening &&
+                         !link.sent_.empty() &&
+                         link.sentAt_ > primary->heardAt_;
+      oldest = waits ? std::min(oldest, link.sentAt_) : oldest;
+    }
+    const bool silent = oldest != Time::max() && aNow - oldest > kSilentAfter;
+    if (silent && primary->failures_ == 0 && primary->opening_ == 0) {
+      OpenLink(*primary, aNow, aOut); // a new one proves which of the two it is
+    }
+    const bool suspected =
+      primary->failures_ > 0 && aNow - primary->heardAt_ > kReportEvery;
+    // Somebody has to find out when it is back.
+    if (suspected && primary->opening_ == 0 && aNow >= primary->blockedUntil_) {
+      OpenLink(*primary, aNow, aOut);
+    }
+    if (suspected == group.suspected_ &&
+        (!suspected || aNow - group.reportedAt_ < kReportEvery)) {
+      continue;
+    }
+    if (suspected != group.suspected_) {
+      aOut.push_back(WriteNote{
+        Event::PrimarySuspected,
+        fmt::format("database={} server={} term={} suspected={} failures={} "
+                    "heard_ms={}",
+                    name,
+                    group.primary_,
+                    group.term_,
+                    suspected,
+                    primary->failures_,
+                    CountMs(aNow - primary->heardAt_)) });
+    }
+    group.suspected_ = suspected;
+    group.reportedAt_ = aNow;
+    wire::Suspicion suspicion;
+    suspicion.set_database(name);
+    suspicion.set_server(group.primary_);
+    suspicion.set_term(group.term_);
+    suspicion.set_suspected(suspected);
+    aOut.push_back(ReportSuspicion{ std::move(suspicion) });
+  }
+}
+
+// ---- The end of this VM
+
+void
+Gateway::Handle(TakeGatewayDrain&, Time aNow, GatewayActions&)
+{
+  if (!drainingSince_) {
+    drainingSince_ = aNow;
+  }
+}
+
+// Sessions at rest are closed once the balancer sends no new ones here;
+// transactions get their time.
+void
+Gateway::TickDrain(Time aNow, GatewayActions& aOut)
+{
+  if (!drainingSince_ || aNow - *drainingSince_ < config_.drainQuiet_) {
+    return;
+  }
+  const bool hard = aNow - *drainingSince_ >= config_.drainIdle_;
+  std::vector<SessionId> ended;
+  for (const auto& [id, session] : sessions_) {
+    const bool rests = session.work_ == 0 && session.inbox_.empty();
+    if (rests && session.tx_ == TxState::None) {
+      ended.push_back(id);
+    } else if (rests && hard && session.link_ != 0) {
+      LoseTransaction(id, "this VM stops", aNow, aOut);
+    }
+  }
+  for (const SessionId id : ended) {
+    aOut.push_back(CloseSession{ id });
+    TakeSessionEnd end{ id };
+    Handle(end, aNow, aOut);
+  }
+}
+
+} // namespace jaydoor
--- /dev/null
+++ b/gateway/GroupLog.cpp
@@ -0,0 +1,104 @@
+#include "gateway/GroupLog.h"
+
+#include <algorithm>
+
+namespace jaydoor {
+namespace {
+
+constexpr Duration kKeepMarks = 15s;   // longer than any allowed age
+constexpr Duration kMarkEvery = 15ms;  // closer marks add nothing to a choice
+constexpr Duration kLagSlack = 10ms;   // for the way of an entry
+constexpr Duration kLagForgotten = 2s; // an old estimate is tried again
+
+} // namespace
+
+void
+GroupLog::SetTerm(std::uint64_t aTerm)
+{
+  if (aTerm != term_) {
+    term_ = aTerm;
+    marks_.clear();
+    replicas_.clear();
+    termStart_.reset();
+  }
+}
+
+void
+GroupLog::NotePrimary(Time aSentAt, LogPoint aPoint)
+{
+  if (aPoint.term_ != term_) {
+    return;
+  }
+  if (!termStart_ || aPoint < *termStart_) {
+    termStart_ = aPoint;
+  }
+  // Answers on several connections come in any order.
+  if (!marks_.empty() && aSentAt < marks_.back().at_ + kMarkEvery) {
+    return;
+  }
+  marks_.push_back({ aSentAt, aPoint });
+  while (marks_.front().at_ + kKeepMarks < aSentAt) {
+    marks_.pop_front();
+  }
+}
+
+void
+GroupLog::NoteReplica(const ServerId& aServer, Time aNow, LogPoint aPoint)
+{
+  Replica& replica = replicas_[aServer];
+  replica.point_ = std::max(replica.point_, aPoint);
+  replica.lagAt_ = aNow;
+  // It lacks something since the first mark beyond its point.
+  const auto beyond =
+    std::find_if(marks_.begin(), marks_.end(), [&](const Mark& aMark) {
+      return aMark.point_ > replica.point_;
+    });
+  replica.lag_ = beyond == marks_.end()
+                   ? Duration{}
+                   : std::max(Duration{}, aNow - beyond->at_);
+}
+
+void
+GroupLog::NoteBehind(const ServerId& aServer, Time aNow, Time aSince)
+{
+  Replica& replica = replicas_[aServer];
+  replica.lag_ = std::max(replica.lag_, aNow - aSince);
+  replica.lagAt_ = aNow;
+}
+
+std::optional<GroupLog::Mark>
+GroupLog::FindMark(Time aOldest) const
+{
+  const auto found = std::lower_bound(
+    marks_.begin(), marks_.end(), aOldest, [](const Mark& aMark, Time aTime) {
+      return aMark.at_ < aTime;
+    });
+  if (found == marks_.end()) {
+    return std::nullopt;
+  }
+  return *found;
+}
+
+std::optional<GroupLog::Mark>
+GroupLog::Newest() const
+{
+  if (marks_.empty()) {
+    return std::nullopt;
+  }
+  return marks_.back();
+}
+
+bool
+GroupLog::IsLikely(const ServerId& aServer, const Mark& aMark, Time aNow) const
+{
+  const auto found = replicas_.find(aServer);
+  if (found == replicas_.end()) {
+    return true;
+  }
+  const Replica& replica = found->second;
+  return replica.point_ >= aMark.point_ ||
+         aNow - aMark.at_ >= replica.lag_ + kLagSlack ||
+         aNow - replica.lagAt_ >= kLagForgotten;
+}
+
+} // namespace jaydoor
