Leases of 1.5 s, sessions held until the catalog is proven, quick elections after a restart

Also a crash (map::at): a second try for a session that had left. Ruled out: dropping all messages while a link is being set up: the first probe to each VM was lost and every VM suspected the others.

--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kMemberTick = 50ms;
 constexpr Duration kProposeAgain = 300ms;
 constexpr Duration kOperatorWait = 5s; // then the outcome is not known yet
-constexpr Duration kProofEvery = 200ms;
+constexpr Duration kProofEvery = 50ms;
 constexpr Duration kPullEvery = 200ms;
 constexpr Duration kZoneProofAfter = 3s; // no quorum: the zone's word counts
 constexpr Duration kGoneEvery = 1s;
@@ -254,6 +254,9 @@
     case wire::ControlMessage::kIndexReply:
       provenIndex_ =
         std::max(provenIndex_.value_or(0), message.index_reply().index());
+      if (message.index_reply().index() > state_.Index() && !raft_) {
+        AskDelta(from, aOut);
+      }
       if (const auto read = reads_.find(message.index_reply().request());
           read != reads_.end()) {
         read->second.index_ = message.index_reply().index();
--- a/control/LeaseTable.h
+++ b/control/LeaseTable.h
@@ -22,9 +22,9 @@
 
 struct LeaseTiming
 {
-  Duration duration_ = 4s;    // longer than a restart of all voters takes
-  Duration margin_ = 100ms;   // for clocks that run at different rates
-  Duration contact_ = 1500ms; // a holder that asked this lately is reachable
+  Duration duration_ = 1500ms; // outlasts an election; a lost holder costs it
+  Duration margin_ = 50ms;     // for clocks that run at different rates
+  Duration contact_ = 700ms;   // a holder that asked this lately is reachable
 };
 
 class LeaseTable
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -144,9 +144,12 @@
 {
   if (!started_) {
     started_ = true;
-    // It may have acknowledged a leader just before it was restarted.
-    loyalUntil_ = aNow + timing_.electionMin_;
-    ResetElection(aNow);
+    // It may have acknowledged a leader just before it was restarted; beyond
+    // that leader's lease nothing speaks against an election.
+    loyalUntil_ = aNow + timing_.restart_;
+    const auto spread = static_cast<std::uint64_t>(timing_.restart_.count());
+    electionAt_ =
+      loyalUntil_ + Duration(static_cast<Duration::rep>(random_() % spread));
   }
   if (role_ == Role::Leader) {
     const bool alone = aNow - leaderSince_ >= timing_.electionMin_ &&
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -93,7 +93,8 @@
   Duration heartbeat_ = 50ms;
   Duration electionMin_ = 300ms; // no leader heard: an election starts
   Duration electionMax_ = 600ms;
-  Duration lease_ = 200ms; // below electionMin_, for clock rates
+  Duration lease_ = 200ms;   // below electionMin_, for clock rates
+  Duration restart_ = 220ms; // after a start: beyond a lease granted before it
 };
 
 // ---- 2. The algorithm
--- a/daemon/Link.cpp
+++ b/daemon/Link.cpp
@@ -17,15 +17,17 @@
 
 namespace asio = boost::asio;
 
-constexpr int kHeartbeatMs = 300; // silent links are found by these
-constexpr int kHeartbeatTimeoutMs = 1000;
-constexpr int kHandshakeMs = 1000; // a new link that says nothing is dropped
-constexpr int kConnectMs = 1000;
+constexpr int kHeartbeatMs = 250; // silent links are found by these
+constexpr int kHeartbeatTimeoutMs = 750;
+constexpr int kHandshakeMs = 1000;    // a new link that says nothing is dropped
+constexpr int kConnectMs = 250;       // a lost opening packet is sent again
 constexpr Duration kCloseAfter = 60s; // an unused link
 constexpr Duration kSweepEvery = 10s;
 constexpr int kReconnectMs = 50;
-constexpr int kReconnectMaxMs = 500;
+constexpr int kReconnectMaxMs = 200;
 constexpr int kQueueMessages = 20'000; // per peer, then refused
+// What waits for a peer that can't be reached would come late and in a flood.
+constexpr int kKeptMessages = 64;
 constexpr std::int64_t kMaxMessageBytes = 64L * 1024 * 1024;
 constexpr int kDrainBatch = 256;      // messages before others get a turn
 constexpr std::size_t kZ85Bytes = 41; // with the final zero
@@ -192,6 +194,9 @@
   {
     zmq::socket_t socket(zmq_, zmq::socket_type::push);
     Prepare(socket);
+    if (queue_ == LinkQueue::Keep) {
+      socket.set(zmq::sockopt::sndhwm, kKeptMessages);
+    }
     socket.set(zmq::sockopt::immediate, queue_ == LinkQueue::Refuse ? 1 : 0);
     if (HasKeys()) {
       socket.set(zmq::sockopt::curve_serverkey, keys_.public_);
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -231,7 +231,7 @@
   // True if sessions can be served: for the balancer.
   bool IsReady() const;
   // True if no session is left.
-  bool IsIdle() const { return sessions_.empty(); }
+  bool IsIdle() const { return sessions_.empty() && openings_.empty(); }
 
   const GatewayCounters& Counters() const { return counters_; }
   std::vector<GatewaySample> TakeSamples();
@@ -274,6 +274,13 @@
     std::deque<SessionStatement> inbox_; // sent ahead
   };
 
+  // A session that came before this VM knew the databases.
+  struct Opening
+  {
+    std::string database_;
+    Time until_;
+  };
+
   // A statement that is to run at a server.
   struct Work
   {
@@ -387,6 +394,8 @@
   void Handle(TakeGatewayTick& aEvent, Time aNow, GatewayActions& aOut);
 
   // Sessions: GatewaySessions.cpp
+  void OpenSession(SessionId aId, std::string aDatabase, GatewayActions& aOut);
+  void TickOpenings(Time aNow, GatewayActions& aOut);
   void RunStatement(SessionId aId,
                     SessionStatement aStatement,
                     Time aNow,
@@ -496,6 +505,7 @@
               Time aNow,
               GatewayActions& aOut);
 
+  bool IsCatalogProven() const;
   Server* FindServer(const ServerId& aServer);
   Group* FindGroup(const DatabaseId& aGroup);
 
@@ -504,6 +514,7 @@
   CatalogPtr catalog_;
   std::size_t holders_ = 1; // VMs that share the servers
   std::map<SessionId, Session> sessions_;
+  std::map<SessionId, Opening> openings_; // until the catalog is proven
   std::map<WorkId, Work> work_;
   std::map<ServerLinkId, Link> links_;
   std::map<ServerId, Server> servers_;
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -12,7 +12,7 @@
 namespace jaydoor {
 namespace {
 
-constexpr Duration kAskEvery = 400ms;    // far below a lease's length
+constexpr Duration kAskEvery = 250ms;    // far below a lease's length
 constexpr Duration kAskSoon = 50ms;      // while a primary has no lease
 constexpr Duration kReleaseWait = 250ms; // running statements may finish
 constexpr Duration kLeaseMargin = 20ms;  // from a check to what it allows
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -17,8 +17,8 @@
 
 constexpr Duration kFullPause = 15ms;   // after a refusal for lack of slots
 constexpr Duration kResendPause = 15ms; // inside a transaction
-constexpr Duration kBlockFirst = 100ms; // after a failed connection
-constexpr Duration kBlockMost = 800ms;  //
+constexpr Duration kBlockFirst = 50ms;  // after a failed connection
+constexpr Duration kBlockMost = 200ms;  //
 constexpr Duration kBlockLimit = 300ms; // after a refusal for connections
 constexpr int kMaxAttempts = 6;         // of one statement
 constexpr int kSmoothing = 8;           // weight of the old service time
--- a/gateway/GatewaySessions.cpp
+++ b/gateway/GatewaySessions.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/Gateway.h"
 
+#include "base/Erase.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,8 +12,9 @@
 namespace jaydoor {
 namespace {
 
-constexpr std::size_t kMaxInbox = 64;   // statements sent ahead
-constexpr std::size_t kMaxNames = 4096; // values or prepared statements
+constexpr Duration kOpeningWait = 1500ms; // callers give up after two seconds
+constexpr std::size_t kMaxInbox = 64;     // statements sent ahead
+constexpr std::size_t kMaxNames = 4096;   // values or prepared statements
 constexpr double kHoldShare = 0.45; // of the limit; then a retry elsewhere pays
 
 bool
@@ -65,28 +68,61 @@
 
 // ---- Sessions come and go
 
+// Just after a start nobody can say yet which databases there are.
+void
+Gateway::Handle(TakeSession& aEvent, Time aNow, GatewayActions& aOut)
+{
+  if (IsCatalogProven()) {
+    OpenSession(aEvent.session_, std::move(aEvent.database_), aOut);
+  } else {
+    openings_[aEvent.session_] = { std::move(aEvent.database_),
+                                   aNow + kOpeningWait };
+  }
+}
+
+void
+Gateway::TickOpenings(Time aNow, GatewayActions& aOut)
+{
+  const bool proven = IsCatalogProven();
+  EraseWhere(openings_, [&](SessionId aId, Opening& aOpening) {
+    if (proven) {
+      OpenSession(aId, std::move(aOpening.database_), aOut);
+    } else if (aNow >= aOpening.until_) {
+      aOut.push_back(
+        WriteNote{ Event::SessionRefused,
+                   fmt::format("session={} database={} reason=no_catalog",
+                               aId,
+                               aOpening.database_) });
+      aOut.push_back(RefuseSession{ aId, SessionError::Overloaded });
+    } else {
+      return false;
+    }
+    return true;
+  });
+}
+
 void
-Gateway::Handle(TakeSession& aEvent, Time, GatewayActions& aOut)
+Gateway::OpenSession(SessionId aId, std::string aDatabase, GatewayActions& aOut)
 {
-  const bool known = catalog_ && catalog_->Find(aEvent.database_) != nullptr;
-  if (!known) {
+  if (catalog_->Find(aDatabase) == nullptr) {
     aOut.push_back(WriteNote{
       Event::SessionRefused,
       fmt::format("session={} database={} catalog={} reason=no_such_database",
-                  aEvent.session_,
-                  aEvent.database_,
-                  catalog_ ? catalog_->version_ : 0) });
-    aOut.push_back(RefuseSession{ aEvent.session_, SessionError::NoDatabase });
+                  aId,
+                  aDatabase,
+                  catalog_->version_) });
+    aOut.push_back(RefuseSession{ aId, SessionError::NoDatabase });
     return;
   }
   counters_.sessions_++;
-  sessions_[aEvent.session_].database_ = std::move(aEvent.database_);
-  aOut.push_back(AcceptSession{ aEvent.session_ });
+  sessions_[aId].database_ = std::move(aDatabase);
+  aOut.push_back(AcceptSession{ aId });
 }
 
 void
 Gateway::Handle(TakeSessionEnd& aEvent, Time aNow, GatewayActions& aOut)
 {
+  openings_.erase(aEvent.session_);
   const auto found = sessions_.find(aEvent.session_);
   if (found == sessions_.end()) {
     return;
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -14,8 +14,8 @@
 constexpr Duration kIdleTick = 50ms;     //
 constexpr Duration kHedgeLeast = 120ms;  // twice the longest usual statement
 constexpr int kHedgeTimes = 5;           // the smoothed service time
-constexpr Duration kOpenLimit = 600ms;   // a connection that is being opened
-constexpr Duration kSilentAfter = 400ms; // a primary that does not answer
+constexpr Duration kOpenLimit = 300ms;   // a connection that is being opened
+constexpr Duration kSilentAfter = 300ms; // a primary that does not answer
 constexpr Duration kReportEvery = 200ms; // a suspicion
 constexpr Duration kLinkLimit = 4s;      // a statement without any answer
 constexpr Duration kIdleLinkLimit = 50s; // servers close idle connections
@@ -28,11 +28,16 @@
   return aNow + (work_.empty() && !drainingSince_ ? kIdleTick : kBusyTick);
 }
 
+bool
+Gateway::IsCatalogProven() const
+{
+  return catalog_ && catalog_->version_ > 0 && view_ && view_->proven_;
+}
+
 bool
 Gateway::IsReady() const
 {
-  return !drainingSince_ && catalog_ && catalog_->version_ > 0 && view_ &&
-         view_->proven_;
+  return !drainingSince_ && IsCatalogProven();
 }
 
 void
@@ -40,6 +45,7 @@
 {
   tickedAt_ = aNow;
   TickWork(aNow, aOut);
+  TickOpenings(aNow, aOut);
   TickSessions(aNow, aOut);
   TickLinks(aNow, aOut);
   TickLeases(aNow, aOut);
@@ -143,7 +149,9 @@
       late.push_back({ id, error, "statement limit" });
       continue;
     }
-    if (!work.reads_ || work.hedged_ || work.links_.empty()) {
+    const bool again = work.reads_ && work.session_ != 0 && !work.hedged_ &&
+                       !work.links_.empty();
+    if (!again) {
       continue;
     }
     const Link& link = links_.at(*work.links_.begin());
