--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -296,6 +296,9 @@
                    const wire::LeaseRequest& aRequest,
                    Time aNow,
                    ControlActions& aOut);
+  void ResetLeases(Time aNow);
+  void RegisterHolder(const VmId& aHolder, Time aNow, ControlActions& aOut);
+  void TickHolders(Time aNow, ControlActions& aOut);
   void RevokeLeases(const DatabaseId& aDatabase, ControlActions& aOut);
   void TickFailover(Time aNow, ControlActions& aOut);
   std::vector<VmId> ListControlVms() const;
@@ -345,6 +348,9 @@
   Time goneAt_;
   Time startedAt_;
   Time leaderSince_;
+  bool leasesReset_ = false; // with all that earlier leaders have committed
+  std::map<VmId, Time> registeredAt_;
+  std::map<VmId, Time> holderSeen_; // while this VM is the leader
   Time leaderHeardAt_;
   Time sizeAt_;
   std::map<VoterId, Time> voterSeen_;    // while this VM is the leader
--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -6,6 +6,12 @@
 #include <fmt/format.h>
 
 namespace jaydoor {
+namespace {
+
+constexpr Duration kRegisterEvery = 100ms;
+constexpr Duration kHolderGoneAfter = 30s; // longer than any lease
+
+} // namespace
 
 // ---- As a holder: the traffic thread asks through the control thread
 
@@ -42,22 +48,79 @@
   if (!MayDecide(aNow)) {
     return; // a later leader may have replaced a primary
   }
-  wire::LeaseGrant grant = leases_.Grant(aHolder, aRequest, state_, aNow);
+  ResetLeases(aNow);
+  auto grant = leases_.Grant(aHolder, aRequest, state_, aNow);
+  if (!grant) {
+    RegisterHolder(aHolder, aNow, aOut);
+    return;
+  }
   if (aHolder == config_.self_.id()) {
-    aOut.push_back(DeliverGrant{ std::move(grant) });
+    aOut.push_back(DeliverGrant{ std::move(*grant) });
     return;
   }
   wire::ControlMessage message;
-  *message.mutable_lease_grant() = std::move(grant);
+  *message.mutable_lease_grant() = std::move(*grant);
   Send(aHolder, std::move(message), aOut);
 }
 
+// The holders are known once all that earlier leaders have committed is
+// applied, which is some time after the election.
+void
+ControlNode::ResetLeases(Time aNow)
+{
+  if (!leasesReset_) {
+    leasesReset_ = true;
+    leases_.Reset(state_, raft_->Term(), aNow);
+  }
+}
+
+// The next request of this VM will find it in the control state.
+void
+ControlNode::RegisterHolder(const VmId& aHolder,
+                            Time aNow,
+                            ControlActions& aOut)
+{
+  Time& last = registeredAt_[aHolder];
+  if (aNow < last + kRegisterEvery) {
+    return;
+  }
+  last = aNow;
+  for (const auto& vm : membership_.LiveVms()) {
+    if (vm.id() == aHolder) {
+      wire::Change change;
+      change.mutable_holder()->set_vm(aHolder);
+      change.mutable_holder()->set_zone(vm.zone());
+      Propose(change, aNow, aOut);
+    }
+  }
+}
+
+// A VM that has been away for long is a holder no more.
+void
+ControlNode::TickHolders(Time aNow, ControlActions& aOut)
+{
+  for (const auto& [vm, zone] : state_.Holders()) {
+    Time& seen = holderSeen_.try_emplace(vm, leaderSince_).first->second;
+    if (membership_.IsAlive(vm)) {
+      seen = aNow;
+    } else if (aNow - seen >= kHolderGoneAfter) {
+      seen = aNow;
+      wire::Change change;
+      change.mutable_holder()->set_vm(vm);
+      change.mutable_holder()->set_gone(true);
+      Propose(change, aNow, aOut);
+      return; // the list has changed
+    }
+  }
+}
+
 // Asks all that may hold one, also those that an earlier leader granted.
 void
 ControlNode::RevokeLeases(const DatabaseId& aDatabase, ControlActions& aOut)
 {
   const wire::Database& database = state_.Databases().at(aDatabase);
   wire::LeaseRevoke revoke;
+  revoke.set_leader_term(leases_.LeaderTerm());
   wire::PrimaryLease& lease = *revoke.add_leases();
   lease.set_database(aDatabase);
   lease.set_server(database.primary());
@@ -120,6 +183,8 @@
 void
 ControlNode::TickFailover(Time aNow, ControlActions& aOut)
 {
+  ResetLeases(aNow);
+  TickHolders(aNow, aOut);
   failover_.Tick(state_, leases_, raft_->Term(), aNow);
   for (const auto& database : failover_.TakeRevocations()) {
     RevokeLeases(database, aOut);
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -152,10 +152,13 @@
     wasLeader_ = raft_->IsLeader();
     promoter_.Reset();
     failover_.Reset();
-    leases_.Reset(aNow);
+    leases_.Reset(state_, raft_->Term(), aNow);
+    leasesReset_ = false;
     proposedDocument_ = 0;
     leaderSince_ = aNow;
     voterSeen_.clear();
+    holderSeen_.clear();
+    registeredAt_.clear();
     aOut.push_back(
       ControlNote{ wasLeader_ ? Event::LeaderElected : Event::LeaderLost,
                    fmt::format("term={}", raft_->Term()) });
--- a/control/ControlState.cpp
+++ b/control/ControlState.cpp
@@ -38,6 +38,9 @@
     case wire::Change::kDocument:
       ApplyDocument(aChange.document());
       break;
+    case wire::Change::kHolder:
+      ApplyHolder(aChange.holder());
+      break;
     case wire::Change::kNoop:
     case wire::Change::BODY_NOT_SET:
       break;
@@ -110,6 +113,16 @@
   }
 }
 
+void
+ControlState::ApplyHolder(const wire::LeaseHolder& aHolder)
+{
+  if (aHolder.gone()) {
+    holders_.erase(aHolder.vm());
+  } else {
+    holders_[aHolder.vm()] = aHolder.zone();
+  }
+}
+
 void
 ControlState::RemoveServer(const ServerId& aServer)
 {
@@ -241,6 +254,10 @@
     KeepOutcome(outcome);
   }
   voters_ = aSnapshot.voters();
+  holders_.clear();
+  for (const auto& holder : aSnapshot.holders()) {
+    ApplyHolder(holder);
+  }
   document_ = aSnapshot.document();
   documentBody_ = std::make_shared<const std::string>(document_.body());
   recent_.clear();
@@ -266,6 +283,11 @@
   }
   *snapshot.mutable_voters() = voters_;
   *snapshot.mutable_document() = document_;
+  for (const auto& [vm, zone] : holders_) {
+    wire::LeaseHolder& holder = *snapshot.add_holders();
+    holder.set_vm(vm);
+    holder.set_zone(zone);
+  }
   return snapshot;
 }
 
--- a/control/ControlState.h
+++ b/control/ControlState.h
@@ -55,6 +55,8 @@
   {
     return documentBody_;
   }
+  // VMs that may hold leases on primaries, with their zones.
+  const std::map<VmId, ZoneId>& Holders() const { return holders_; }
   // True if this is news of the server, and not a delayed announcement or one
   // of a server whose address another one has taken over.
   bool IsNews(const wire::Upstream& aInfo) const;
@@ -67,6 +69,7 @@
   void ApplyUpstream(const wire::UpstreamChange& aChange);
   void RemoveServer(const ServerId& aServer);
   void ApplyDocument(const wire::Document& aDocument);
+  void ApplyHolder(const wire::LeaseHolder& aHolder);
   void ApplyIntent(const wire::PromotionIntent& aIntent);
   void ApplyPrimary(const wire::PrimaryChange& aChange);
   void KeepOutcome(wire::RuleOutcome aOutcome);
@@ -82,6 +85,7 @@
   std::deque<wire::RuleOutcome> outcomes_;             // oldest first
   std::map<std::string, wire::RuleOutcome> outcomeOf_; // by request
   wire::VoterSet voters_;
+  std::map<VmId, ZoneId> holders_;
   wire::Document document_;
   std::shared_ptr<const std::string> documentBody_;
   std::deque<wire::Change> recent_; // ends at index_
--- a/control/Failover.cpp
+++ b/control/Failover.cpp
@@ -300,11 +300,7 @@
   }
   aChange.askedAt_ = aNow;
   for (const auto& server : aDatabase.servers()) {
-    const bool wanted =
-      aChange.planned_ || server.server() != aDatabase.primary();
-    if (wanted) {
-      Ask(server, 0, aNow);
-    }
+    Ask(server, 0, aNow);
   }
 }
 
@@ -366,7 +362,10 @@
 {
   AskAll(aDatabase, aChange, aNow);
   const auto servers = static_cast<std::size_t>(aDatabase.servers_size());
-  const bool all = aChange.statuses_.size() + 1 >= servers;
+  const bool all =
+    aChange.statuses_.size() -
+      (aChange.statuses_.contains(aDatabase.primary()) ? 1U : 0U) + 1 >=
+    servers;
   const bool waited = aChange.firstAnswerAt_ &&
                       aNow - *aChange.firstAnswerAt_ >= timing_.candidateWait_;
   if (!all && !waited) {
@@ -416,27 +415,59 @@
          next->second.received_ >= old->second.received_;
 }
 
+// True if the primary is no longer suspected, and nothing irrevocable was done.
+bool
+Failover::IsTrusted(const wire::Database& aDatabase,
+                    Change& aChange,
+                    const LeaseTable& aLeases,
+                    Time aNow)
+{
+  const wire::Upstream* old = FindIn(aDatabase, aDatabase.primary());
+  const bool stays = old != nullptr && !old->leaving() &&
+                     aDatabase.intended_primary().empty() &&
+                     aChange.proposedAt_ == Time{};
+  if (!stays || IsSuspected(aDatabase, aLeases, aNow)) {
+    aChange.trustedSince_.reset();
+    return false;
+  }
+  if (!aChange.trustedSince_) {
+    aChange.trustedSince_ = aNow;
+  }
+  return aNow - *aChange.trustedSince_ >= timing_.trust_;
+}
+
 void
 Failover::FenceOld(const wire::Database& aDatabase,
                    Change& aChange,
                    LeaseTable& aLeases,
                    Time aNow)
 {
+  if (IsTrusted(aDatabase, aChange, aLeases, aNow)) {
+    aLeases.LiftFence(aDatabase.name());
+    changedAt_[aDatabase.name()] = aNow;
+    notes_.push_back({ Event::PromotionFinished,
+                       fmt::format("database={} server={} term={} cause=\"no "
+                                   "longer suspected\"",
+                                   aDatabase.name(),
+                                   aDatabase.primary(),
+                                   aDatabase.primary_term()) });
+    changes_.erase(aDatabase.name()); // ends the life of aChange
+    return;
+  }
   aLeases.Fence(aDatabase.name(), aDatabase.primary_term());
   const bool free = aLeases.IsFree(aDatabase.name(), aNow);
   if (!free && aNow >= aChange.revokedAt_ + kRevokeEvery) {
     aChange.revokedAt_ = aNow;
     revocations_.push_back(aDatabase.name());
   }
+  const wire::Upstream* old = FindIn(aDatabase, aDatabase.primary());
   const bool logged = aDatabase.intended_primary() == aChange.successor_;
-  if (!logged) {
-    ProposeIntent(aDatabase, aChange, aNow);
+  if (!logged || (aChange.planned_ && !aChange.steppedDown_)) {
+    AskAll(aDatabase, aChange, aNow);
   }
   // While the old primary still serves, its statuses show what is missing.
   if (aChange.planned_ && !aChange.steppedDown_) {
-    AskAll(aDatabase, aChange, aNow);
-    const bool returned = aLeases.HoldersOf(aDatabase.name(), aNow).empty();
-    if (!returned && aNow - aChange.phaseAt_ < timing_.catchUp_) {
+    if (!free && aNow - aChange.phaseAt_ < timing_.catchUp_) {
       aChange.statuses_.clear();
       return;
     }
@@ -444,13 +475,19 @@
       return;
     }
   }
-  const wire::Upstream* old = FindIn(aDatabase, aDatabase.primary());
+  const bool reached = aChange.statuses_.contains(aDatabase.primary());
+  if (!logged) {
+    if (free || reached) {
+      ProposeIntent(aDatabase, aChange, aNow);
+    }
+    return;
+  }
   const bool asks = aNow >= aChange.promotedAt_ + timing_.statusEvery_;
-  if (logged && old != nullptr && !aChange.steppedDown_ && asks) {
+  if (old != nullptr && !aChange.steppedDown_ && asks) {
     aChange.promotedAt_ = aNow;
     Ask(*old, aDatabase.reserved_term(), aNow);
   }
-  if (logged && (free || aChange.steppedDown_)) {
+  if (free || aChange.steppedDown_) {
     aChange.promotedAt_ = Time{};
     SetPhase(aChange, Phase::Promoting, aNow);
     Promote(aDatabase, aChange, aLeases, aNow);
--- a/control/Failover.h
+++ b/control/Failover.h
@@ -6,7 +6,8 @@
 // For each database whose primary leaves, is suspected or is unknown:
 //   1. ask the other servers how much of the log they have,
 //   2. fence the primary: no new leases, and those granted are called back,
-//   3. log the intent, so that a later leader goes on from here,
+//   3. once it can be reached, or no lease on it is left, log the intent, so
+//      that a later leader goes on from here,
 //   4. make the old primary step down, if it can be reached,
 //   5. ask for the promotion, once the old primary has stepped down or no
 //      lease on it is left,
@@ -67,6 +68,7 @@
   Duration promoteAgain_ = 500ms; // an unanswered request is repeated
   Duration effectLimit_ = 3s;     // then another server is chosen
   Duration calm_ = 2s;            // between two changes of one primary
+  Duration trust_ = 300ms;        // unsuspected for so long: it stays
   Duration initialEvery_ = 200ms; // questions while no primary is known
 };
 
@@ -128,10 +130,11 @@
     std::optional<Time> firstAnswerAt_;
     std::map<ServerId, ServerStatus> statuses_; // since the phase began
     ServerId successor_;
-    bool steppedDown_ = false;    // the old primary
-    bool accepted_ = false;       // the request for the promotion
-    bool refused_ = false;        //
-    std::set<ServerId> refusing_; // servers that can't be promoted now
+    bool steppedDown_ = false;         // the old primary
+    bool accepted_ = false;            // the request for the promotion
+    bool refused_ = false;             //
+    std::set<ServerId> refusing_;      // servers that can't be promoted now
+    std::optional<Time> trustedSince_; // nobody suspects the old primary
   };
 
   struct Call
@@ -166,6 +169,10 @@
                Time aNow);
   ServerId ChooseSuccessor(const wire::Database& aDatabase,
                            const Change& aChange) const;
+  bool IsTrusted(const wire::Database& aDatabase,
+                 Change& aChange,
+                 const LeaseTable& aLeases,
+                 Time aNow);
   bool HasCaughtUp(const wire::Database& aDatabase,
                    const Change& aChange,
                    Time aNow) const;
--- a/control/LeaseTable.cpp
+++ b/control/LeaseTable.cpp
@@ -1,23 +1,13 @@
 #include "control/LeaseTable.h"
 
-#include "base/Erase.h"
-
-#include <set>
-
-#include <fmt/format.h>
+#include <algorithm>
 
 namespace jaydoor {
 namespace {
 
-std::string
-KeyOf(const VmId& aVm, std::uint64_t aIncarnation)
-{
-  return fmt::format("{}/{}", aVm, aIncarnation);
-}
-
-// Replaced, or about to be.
+// Without a primary, or with one that is being replaced.
 bool
-IsLeaving(const wire::Database& aDatabase)
+IsChanging(const wire::Database& aDatabase)
 {
   return aDatabase.primary().empty() || !aDatabase.intended_primary().empty();
 }
@@ -29,43 +19,64 @@
 {
 }
 
+// A primary that is not known any more may be in any zone.
+Duration
+LeaseTable::LengthFor(const ZoneId& aHolder,
+                      const wire::Database& aDatabase,
+                      const ControlState& aState) const
+{
+  const wire::Upstream* primary = aState.FindServer(aDatabase.primary());
+  const bool within = primary != nullptr && primary->zone() == aHolder;
+  return within ? timing_.inZone_ : timing_.acrossZones_;
+}
+
 void
-LeaseTable::Reset(Time aNow)
+LeaseTable::Reset(const ControlState& aState, std::uint64_t aTerm, Time aNow)
 {
+  leaderTerm_ = aTerm;
   holders_.clear();
   fenced_.clear();
-  earlierUntil_ = aNow + timing_.duration_ + timing_.margin_;
+  for (const auto& [vm, zone] : aState.Holders()) {
+    Holder& holder = holders_[vm];
+    for (const auto& [name, database] : aState.Databases()) {
+      holder.leases_[name] = { database.primary_term(),
+                               aNow + LengthFor(zone, database, aState) +
+                                 timing_.margin_ };
+    }
+  }
 }
 
-wire::LeaseGrant
+std::optional<wire::LeaseGrant>
 LeaseTable::Grant(const VmId& aHolder,
                   const wire::LeaseRequest& aRequest,
                   const ControlState& aState,
                   Time aNow)
 {
-  EraseWhere(holders_, [&](const std::string&, const Holder& aOld) {
-    return aNow - aOld.askedAt_ > timing_.duration_ + timing_.margin_;
-  });
-  Holder& holder = holders_[KeyOf(aHolder, aRequest.incarnation())];
-  holder.vm_ = aHolder;
+  const auto known = aState.Holders().find(aHolder);
+  if (known == aState.Holders().end()) {
+    return std::nullopt;
+  }
+  Holder& holder = holders_[aHolder];
   holder.askedAt_ = aNow;
   wire::LeaseGrant grant;
   grant.set_sent_us(aRequest.sent_us());
   grant.set_incarnation(aRequest.incarnation());
-  grant.set_duration_us(timing_.duration_.count());
   for (const auto& [name, database] : aState.Databases()) {
     const auto fence = fenced_.find(name);
     const bool fenced =
       fence != fenced_.end() && database.primary_term() <= fence->second;
-    if (fenced || IsLeaving(database)) {
+    if (fenced || IsChanging(database)) {
       continue;
     }
-    holder.leases_[name] = { database.primary_term(),
-                             aNow + timing_.duration_ + timing_.margin_ };
-    wire::PrimaryLease& lease = *grant.add_leases();
-    lease.set_database(name);
-    lease.set_server(database.primary());
-    lease.set_term(database.primary_term());
+    const Duration length = LengthFor(known->second, database, aState);
+    Lease& lease = holder.leases_[name];
+    lease.term_ = database.primary_term();
+    lease.until_ = std::max(lease.until_, aNow + length + timing_.margin_);
+    wire::PrimaryLease& granted = *grant.add_leases();
+    granted.set_database(name);
+    granted.set_server(database.primary());
+    granted.set_term(database.primary_term());
+    granted.set_duration_us(length.count());
   }
   grant.set_holders(static_cast<std::uint32_t>(CountContacts(aNow)));
   return grant;
@@ -74,8 +85,8 @@
 void
 LeaseTable::Release(const VmId& aHolder, const wire::LeaseRelease& aRelease)
 {
-  const auto holder = holders_.find(KeyOf(aHolder, aRelease.incarnation()));
-  if (holder == holders_.end()) {
+  const auto holder = holders_.find(aHolder);
+  if (holder == holders_.end() || aRelease.leader_term() != leaderTerm_) {
     return;
   }
   for (const auto& released : aRelease.leases()) {
@@ -94,31 +105,33 @@
   fenced_[aDatabase] = std::max(fenced_[aDatabase], aTerm);
 }
 
-bool
-LeaseTable::Blocks(const Lease& aLease,
-                   const DatabaseId& aDatabase,
-                   Time aNow) const
+void
+LeaseTable::LiftFence(const DatabaseId& aDatabase)
 {
-  const auto fence = fenced_.find(aDatabase);
-  const bool fenced = fence != fenced_.end() && aLease.term_ <= fence->second;
-  return fenced && aNow < aLease.until_;
+  fenced_.erase(aDatabase);
 }
 
 bool
 LeaseTable::IsFree(const DatabaseId& aDatabase, Time aNow) const
 {
-  return aNow >= earlierUntil_ && HoldersOf(aDatabase, aNow).empty();
+  return HoldersOf(aDatabase, aNow).empty();
 }
 
 std::vector<VmId>
 LeaseTable::HoldersOf(const DatabaseId& aDatabase, Time aNow) const
 {
   std::vector<VmId> holders;
-  for (const auto& [key, holder] : holders_) {
+  const auto fence = fenced_.find(aDatabase);
+  if (fence == fenced_.end()) {
+    return holders;
+  }
+  for (const auto& [vm, holder] : holders_) {
     const auto lease = holder.leases_.find(aDatabase);
-    if (lease != holder.leases_.end() &&
-        Blocks(lease->second, aDatabase, aNow)) {
-      holders.push_back(holder.vm_);
+    const bool blocks = lease != holder.leases_.end() &&
+                        lease->second.term_ <= fence->second &&
+                        aNow < lease->second.until_;
+    if (blocks) {
+      holders.push_back(vm);
     }
   }
   return holders;
@@ -127,13 +140,11 @@
 std::size_t
 LeaseTable::CountContacts(Time aNow) const
 {
-  std::set<VmId> contacts;
-  for (const auto& [key, holder] : holders_) {
-    if (aNow - holder.askedAt_ <= timing_.contact_) {
-      contacts.insert(holder.vm_);
-    }
-  }
-  return contacts.size();
+  return static_cast<std::size_t>(
+    std::count_if(holders_.begin(), holders_.end(), [&](const auto& aEntry) {
+      const auto& asked = aEntry.second.askedAt_;
+      return asked && aNow - *asked <= timing_.contact_;
+    }));
 }
 
 } // namespace jaydoor
--- a/control/LeaseTable.h
+++ b/control/LeaseTable.h
@@ -2,19 +2,28 @@
 
 // Leases on primaries, as the leader of the control state grants them.
 //
-//   table.Reset(now);                        // this VM became the leader
+//   table.Reset(state, term, now);           // this VM became the leader
 //   auto grant = table.Grant(vm, request, state, now);
 //   table.Fence(database, term);             // no new leases on that primary
 //   if (table.IsFree(database, now)) ...     // nobody may use it any more
 //
 // A VM uses a primary only while it holds a lease on it. The lease counts from
 // the moment at which the holder asked, on the holder's clock, so that it ends
-// there before it ends here. A new leader does not know what the one before it
-// granted, and waits for the longest lease to run out.
+// there before it ends here.
+//
+// Only VMs that the control state names as holders are granted leases. A new
+// leader takes each of them for a holder of all, until it has given them back
+// or their time is over.
+//
+// Leases within a zone are short: a zone that is cut off keeps its primary and
+// its holders together, and a change has to wait for them. Others are long: a
+// holder that loses the control VMs for a while goes on, and nobody waits for
+// it, since a primary that can be reached is made to step down.
 
 #include "control/ControlState.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,9 +31,10 @@
 
 struct LeaseTiming
 {
-  Duration duration_ = 1500ms; // outlasts an election; a lost holder costs it
-  Duration margin_ = 50ms;     // for clocks that run at different rates
-  Duration contact_ = 700ms;   // a holder that asked this lately is reachable
+  Duration inZone_ = 1500ms;  // outlasts an election
+  Duration acrossZones_ = 7s; // outlasts the usual loss of the control VMs
+  Duration margin_ = 50ms;    // for clocks that run at different rates
+  Duration contact_ = 700ms;  // a holder that asked this lately is reachable
 };
 
 class LeaseTable
@@ -32,23 +42,28 @@
 public:
   explicit LeaseTable(LeaseTiming aTiming);
 
-  // Forgets all: this VM has just become the leader.
-  void Reset(Time aNow);
-  // Grants all primaries that are not being replaced.
-  wire::LeaseGrant Grant(const VmId& aHolder,
-                         const wire::LeaseRequest& aRequest,
-                         const ControlState& aState,
-                         Time aNow);
+  // This VM has just become the leader of a term.
+  void Reset(const ControlState& aState, std::uint64_t aTerm, Time aNow);
+  // Grants all primaries that are not being replaced. None: the VM is no
+  // holder in the control state yet.
+  std::optional<wire::LeaseGrant> Grant(const VmId& aHolder,
+                                        const wire::LeaseRequest& aRequest,
+                                        const ControlState& aState,
+                                        Time aNow);
+  // Takes the answer to a revocation of this leader: the VM's process that
+  // runs now, and so none of its former ones, uses the primaries.
   void Release(const VmId& aHolder, const wire::LeaseRelease& aRelease);
 
   // From now on nobody gets a lease on this primary.
   void Fence(const DatabaseId& aDatabase, std::uint64_t aTerm);
+  void LiftFence(const DatabaseId& aDatabase);
   // True if no VM can still use a primary of the fenced term or an earlier one.
   bool IsFree(const DatabaseId& aDatabase, Time aNow) const;
   // VMs that hold a lease that the fence has to wait for.
   std::vector<VmId> HoldersOf(const DatabaseId& aDatabase, Time aNow) const;
   // VMs that asked lately.
   std::size_t CountContacts(Time aNow) const;
+  std::uint64_t LeaderTerm() const { return leaderTerm_; }
 
 private:
   struct Lease
@@ -57,21 +72,19 @@
     Time until_; // the holder's lease has ended by then
   };
 
-  // One run of one VM.
   struct Holder
   {
-    VmId vm_;
-    Time askedAt_;
+    std::optional<Time> askedAt_;
     std::map<DatabaseId, Lease> leases_;
   };
 
-  bool Blocks(const Lease& aLease,
-              const DatabaseId& aDatabase,
-              Time aNow) const;
+  Duration LengthFor(const ZoneId& aHolder,
+                     const wire::Database& aDatabase,
+                     const ControlState& aState) const;
 
   LeaseTiming timing_;
-  Time earlierUntil_; // leases of earlier leaders have ended by then
-  std::map<std::string, Holder> holders_;      // by VM and run
+  std::uint64_t leaderTerm_ = 0;
+  std::map<VmId, Holder> holders_;
   std::map<DatabaseId, std::uint64_t> fenced_; // term up to which
 };
 
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -366,6 +366,7 @@
     Lease lease_;
     Time releasedAt_; // grants asked for earlier are void
     std::uint64_t releasedTerm_ = 0;
+    std::uint64_t revokedBy_ = 0;   // term of the leader that asked for it
     std::optional<Time> releaseBy_; // a revocation waits for running work
     std::set<QueueKey> queue_;
     bool suspected_ = false; // as last reported
--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -218,6 +218,7 @@
 {
   const Server* primary = FindServer(aGroup.primary_);
   const bool leased = primary != nullptr && !aGroup.changing_ &&
+                      !aGroup.releaseBy_ &&
                       HoldsLease(aGroup, aGroup.term_, aNow);
   const auto need = aWork.primary_ ? std::nullopt : NeedOf(aWork, aGroup);
   if (!need) {
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -72,7 +72,7 @@
     if (isVoid || group.releaseBy_) {
       continue;
     }
-    const Time until = askedAt + Duration(grant.duration_us());
+    const Time until = askedAt + Duration(lease.duration_us());
     const bool gained = !HoldsLease(group, lease.term(), aNow);
     const bool newer =
       lease.term() > group.lease_.term_ ||
@@ -109,9 +109,9 @@
                                             lease.server(),
                                             lease.term()) });
       group.releaseBy_ = aNow + kReleaseWait;
-      group.changing_ = true;
     }
     group.releasedTerm_ = std::max(group.releasedTerm_, lease.term());
+    group.revokedBy_ = aEvent.revoke_.leader_term();
     EndLeasedTransactions(lease.database(), aNow, aOut);
     if (!IsLeaseUsed(lease.database(), group.releasedTerm_)) {
       FinishRelease(lease.database(), aNow, aOut);
@@ -162,6 +162,7 @@
   group.releasedAt_ = aNow;
   wire::LeaseRelease release;
   release.set_incarnation(config_.incarnation_);
+  release.set_leader_term(group.revokedBy_);
   wire::PrimaryLease& lease = *release.add_leases();
   lease.set_database(aGroup);
   lease.set_server(group.lease_.server_);
--- /dev/null
+++ b/tests/SessionWorld.cpp
@@ -0,0 +1,812 @@
+#include "tests/SessionWorld.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace jaydoor::tests {
+namespace {
+
+constexpr char kGroup[] = "db";
+constexpr Duration kNetDelay = 1ms;
+constexpr Duration kConnectDelay = 12ms;
+constexpr Duration kPromoteDelay = 100ms;
+constexpr Duration kReplaced = 1s; // then an old primary has heard of the new
+constexpr Duration kAge = 1500ms;  // allowed to bounded reads
+constexpr std::size_t kServers = 3;
+constexpr const char* kDatabases[] = { "all", "own", "aged" };
+
+std::string
+ServerName(std::size_t aServer)
+{
+  return fmt::format("server-{}", aServer + 1);
+}
+
+CatalogPtr
+MakeCatalog()
+{
+  auto catalog = std::make_shared<Catalog>();
+  catalog->version_ = 1;
+  catalog->connectionLimits_[kGroup] = 20;
+  const Consistency kinds[] = { Consistency::Primary,
+                                Consistency::ReadYourWrites,
+                                Consistency::BoundedStaleness };
+  for (std::size_t i = 0; i < 3; i++) {
+    CatalogDatabase database;
+    database.name_ = kDatabases[i];
+    database.group_ = kGroup;
+    database.consistency_ = kinds[i];
+    database.maxStaleness_ = kAge;
+    database.statementLimit_ = 1s;
+    database.target_ = 300ms;
+    database.rank_ = static_cast<int>(i);
+    catalog->databases_[database.name_] = database;
+  }
+  return catalog;
+}
+
+// Promises that nothing is kept.
+bool
+IsPromise(SessionError aError)
+{
+  return aError == SessionError::Overloaded ||
+         aError == SessionError::Aborted || aError == SessionError::Behind ||
+         aError == SessionError::ReadOnly ||
+         aError == SessionError::WrongServer ||
+         aError == SessionError::ConnectionLimit;
+}
+
+} // namespace
+
+SessionWorld::SessionWorld(SessionWorldConfig aConfig)
+  : config_(aConfig)
+  , random_(aConfig.seed_)
+  , servers_(kServers)
+{
+  servers_[0].primary_ = true;
+  for (std::size_t i = 0; i < kServers; i++) {
+    wire::Change change;
+    auto& info = *change.mutable_upstream()->mutable_upstream();
+    info.set_server(ServerName(i));
+    info.set_database(kGroup);
+    info.set_zone(fmt::format("zone-{}", i + 1));
+    info.set_host("10.0.0.1");
+    info.set_port(static_cast<std::uint32_t>(1000 + i));
+    info.set_slots(config_.slots_);
+    Apply(std::move(change));
+  }
+  wire::Change primary;
+  primary.mutable_primary()->set_database(kGroup);
+  primary.mutable_primary()->set_server(ServerName(0));
+  primary.mutable_primary()->set_term(1);
+  Apply(std::move(primary));
+  for (std::size_t i = 0; i < config_.gateways_; i++) {
+    wire::Change holder;
+    holder.mutable_holder()->set_vm(fmt::format("vm-{}", i));
+    holder.mutable_holder()->set_zone(fmt::format("zone-{}", i + 1));
+    Apply(std::move(holder));
+  }
+  leases_.Reset(state_, 1, now_ - 10s);
+  frozenUntil_.resize(config_.gateways_);
+  for (std::size_t i = 0; i < config_.gateways_; i++) {
+    GatewayConfig config;
+    config.zone_ = fmt::format("zone-{}", i + 1);
+    config.incarnation_ = i + 1;
+    gateways_.push_back(std::make_unique<Gateway>(config));
+  }
+  PublishFleet();
+  for (std::size_t i = 0; i < config_.gateways_; i++) {
+    TickGateway(i);
+    for (std::size_t j = 0; j < config_.sessions_; j++) {
+      Caller caller;
+      caller.gateway_ = i;
+      caller.session_ = j + 1;
+      caller.name_ = fmt::format("caller-{}-{}", i, j);
+      caller.database_ = kDatabases[j % 3];
+      callers_.push_back(caller);
+      StepGateway(i, TakeSession{ caller.session_, caller.database_ });
+      const std::size_t index = callers_.size() - 1;
+      At(Duration(random_() % 50'000), [this, index] { Act(index); });
+    }
+  }
+  At(1ms, [this] { Replicate(); });
+  if (config_.faults_) {
+    At(300ms, [this] { Disturb(); });
+  }
+}
+
+// ---- Time
+
+void
+SessionWorld::At(Duration aDelay, Task aTask)
+{
+  tasks_[{ now_ + aDelay, sequence_++ }] = std::move(aTask);
+}
+
+void
+SessionWorld::Run(Duration aTime)
+{
+  const Time end = now_ + aTime;
+  while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
+    now_ = tasks_.begin()->first.first;
+    const Task task = std::move(tasks_.begin()->second);
+    tasks_.erase(tasks_.begin());
+    task();
+  }
+  now_ = end;
+}
+
+void
+SessionWorld::Check(bool aHolds, const std::string& aWhat)
+{
+  if (!aHolds) {
+    failures_.push_back(fmt::format(
+      "{} ms: {}", CountMs(now_.time_since_epoch()) - 1'000'000, aWhat));
+  }
+}
+
+// ---- Gateways
+
+void
+SessionWorld::StepGateway(std::size_t aGateway, GatewayEvent aEvent)
+{
+  if (now_ < frozenUntil_[aGateway]) {
+    auto event = std::make_shared<GatewayEvent>(std::move(aEvent));
+    At(frozenUntil_[aGateway] - now_,
+       [this, aGateway, event] { StepGateway(aGateway, std::move(*event)); });
+    return;
+  }
+  GatewayActions actions;
+  gateways_[aGateway]->Step(std::move(aEvent), now_, actions);
+  for (auto& action : actions) {
+    Perform(aGateway, action);
+  }
+}
+
+void
+SessionWorld::TickGateway(std::size_t aGateway)
+{
+  StepGateway(aGateway, TakeGatewayTick{});
+  At(10ms, [this, aGateway] { TickGateway(aGateway); });
+}
+
+void
+SessionWorld::PublishFleet()
+{
+  const FleetViewPtr view = BuildFleetView(state_, {}, true);
+  for (std::size_t i = 0; i < gateways_.size(); i++) {
+    At(kNetDelay * (1 + random_() % 20), [this, i, view] {
+      StepGateway(i, TakeFleet{ view, MakeCatalog() });
+    });
+  }
+}
+
+void
+SessionWorld::Apply(wire::Change aChange)
+{
+  aChange.set_index(++index_);
+  state_.Apply(aChange);
+}
+
+void
+SessionWorld::Grant(std::size_t aGateway, const wire::LeaseRequest& aRequest)
+{
+  const auto grant =
+    leases_.Grant(fmt::format("vm-{}", aGateway), aRequest, state_, now_);
+  if (!grant) {
+    return;
+  }
+  At(kNetDelay * (1 + random_() % 30),
+     [this, aGateway, grant] { StepGateway(aGateway, TakeGrant{ *grant }); });
+}
+
+void
+SessionWorld::Perform(std::size_t aGateway, GatewayAction& aAction)
+{
+  if (auto* reply = std::get_if<ReplySession>(&aAction)) {
+    for (std::size_t i = 0; i < callers_.size(); i++) {
+      const Caller& caller = callers_[i];
+      if (caller.gateway_ == aGateway && caller.session_ == reply->session_) {
+        Answered(i, reply->reply_);
+      }
+    }
+  } else if (auto* open = std::get_if<OpenServerLink>(&aAction)) {
+    const ConnectionKey key{ aGateway, open->link_ };
+    std::size_t server = 0;
+    while (ServerName(server) != open->server_) {
+      server++;
+    }
+    At(kConnectDelay, [this, key, server] {
+      if (servers_[server].up_) {
+        connections_[key].server_ = server;
+        connections_[key].gateway_ = key.first;
+        StepGateway(key.first, ServerLinkOpened{ key.second });
+      } else {
+        StepGateway(key.first, ServerLinkLost{ key.second, {} });
+      }
+    });
+  } else if (auto* send = std::get_if<SendServerLink>(&aAction)) {
+    const ConnectionKey key{ aGateway, send->link_ };
+    At(kNetDelay, [this, key, command = std::move(send->command_)] {
+      Receive(key, command);
+    });
+  } else if (auto* close = std::get_if<CloseServerLink>(&aAction)) {
+    const ConnectionKey key{ aGateway, close->link_ };
+    At(kNetDelay, [this, key] { connections_.erase(key); });
+  } else if (auto* request = std::get_if<SendLeaseRequest>(&aAction)) {
+    At(kNetDelay, [this, aGateway, request = request->request_] {
+      Grant(aGateway, request);
+    });
+  } else if (auto* release = std::get_if<SendLeaseRelease>(&aAction)) {
+    At(kNetDelay, [this, aGateway, release = release->release_] {
+      leases_.Release(fmt::format("vm-{}", aGateway), release);
+    });
+  }
+}
+
+// ---- Servers
+
+void
+SessionWorld::Receive(ConnectionKey aKey, ServerCommand aCommand)
+{
+  const auto found = connections_.find(aKey);
+  if (found == connections_.end() || !servers_[found->second.server_].up_) {
+    return;
+  }
+  found->second.inbox_.push_back(std::move(aCommand));
+  RunNext(aKey);
+}
+
+void
+SessionWorld::RunNext(ConnectionKey aKey)
+{
+  const auto found = connections_.find(aKey);
+  if (found == connections_.end() || found->second.busy_ ||
+      found->second.inbox_.empty()) {
+    return;
+  }
+  Connection& connection = found->second;
+  Server& server = servers_[connection.server_];
+  const CommandKind kind = connection.inbox_.front().kind_;
+  const bool works =
+    kind == CommandKind::Forward || kind == CommandKind::Execute;
+  connection.busy_ = true;
+  if (works && server.running_ >= config_.slots_) {
+    At(1ms, [this, aKey] {
+      if (const auto at = connections_.find(aKey); at != connections_.end()) {
+        at->second.busy_ = false;
+        RunNext(aKey);
+      }
+    });
+    return;
+  }
+  server.running_ += works ? 1U : 0U;
+  const std::size_t index = connection.server_;
+  const std::uint64_t run = server.run_;
+  const Duration time =
+    works ? config_.work_ + Duration(random_() % 4000) : Duration(50);
+  At(time, [this, aKey, index, run, works] {
+    if (servers_[index].run_ != run) {
+      return;
+    }
+    servers_[index].running_ -= works ? 1U : 0U;
+    const auto at = connections_.find(aKey);
+    if (at == connections_.end() || at->second.inbox_.empty()) {
+      return;
+    }
+    const ServerCommand command = std::move(at->second.inbox_.front());
+    at->second.inbox_.pop_front();
+    at->second.busy_ = false;
+    ServerAnswer answer = Execute(at->second, command);
+    const bool lost =
+      works && std::uniform_real_distribution<>(0, 1)(random_) < loss_;
+    if (!lost) {
+      AnswerLink(aKey, std::move(answer));
+    }
+    RunNext(aKey);
+  });
+}
+
+void
+SessionWorld::AnswerLink(ConnectionKey aKey, ServerAnswer aAnswer)
+{
+  At(kNetDelay, [this, aKey, answer = std::move(aAnswer)] {
+    if (connections_.contains(aKey)) {
+      StepGateway(aKey.first, ServerLinkAnswered{ aKey.second, answer });
+    }
+  });
+}
+
+void
+SessionWorld::LoseLink(ConnectionKey aKey)
+{
+  connections_.erase(aKey);
+  StepGateway(aKey.first, ServerLinkLost{ aKey.second, {} });
+}
+
+bool
+SessionWorld::Holds(const Server& aServer, LogPoint aPoint) const
+{
+  if (aPoint == LogPoint{} || aPoint.position_ == 0) {
+    return true;
+  }
+  return aPoint.position_ <= aServer.log_.size() &&
+         aServer.log_[aPoint.position_ - 1].point_.term_ <= aPoint.term_ &&
+         aServer.term_ >= aPoint.term_;
+}
+
+ServerAnswer
+SessionWorld::Execute(Connection& aConnection, const ServerCommand& aCommand)
+{
+  Server& server = servers_[aConnection.server_];
+  ServerAnswer answer;
+  switch (aCommand.kind_) {
+    case CommandKind::Reset:
+      aConnection.values_.clear();
+      aConnection.prepared_.clear();
+      break;
+    case CommandKind::Set:
+      aConnection.values_[aCommand.name_] = aCommand.argument_;
+      break;
+    case CommandKind::Prepare:
+      aConnection.prepared_[aCommand.name_] = { aCommand.writes_,
+                                                aCommand.argument_ };
+      break;
+    case CommandKind::Begin:
+    case CommandKind::BeginRead:
+      if (!Holds(server, aCommand.since_)) {
+        answer.error_ = SessionError::Behind;
+      } else if (aCommand.kind_ == CommandKind::Begin && !server.primary_) {
+        answer.error_ = SessionError::ReadOnly;
+      } else {
+        Check(!aConnection.inside_, "a begin inside a transaction");
+        aConnection.inside_ = true;
+        aConnection.reads_ = aCommand.kind_ == CommandKind::BeginRead;
+        aConnection.writes_.clear();
+        aConnection.owner_.clear();
+      }
+      break;
+    case CommandKind::Rollback:
+      aConnection.inside_ = false;
+      aConnection.writes_.clear();
+      break;
+    default:
+      answer = ExecuteStatement(aConnection, aCommand);
+      break;
+  }
+  answer.state_ =
+    aConnection.inside_ ? TransactionState::Open : TransactionState::Idle;
+  answer.point_ = { server.term_, server.log_.size() };
+  return answer;
+}
+
+ServerAnswer
+SessionWorld::ExecuteStatement(Connection& aConnection,
+                               const ServerCommand& aCommand)
+{
+  ServerAnswer answer;
+  Server& server = servers_[aConnection.server_];
+  const auto known = callerOfId_.find(aCommand.id_);
+  if (known == callerOfId_.end()) {
+    Check(false, "a statement that nobody sent: " + aCommand.id_);
+    return answer;
+  }
+  const Caller& caller = callers_[known->second];
+  const bool current = caller.waiting_ == aCommand.id_;
+  if (!Holds(server, aCommand.since_)) {
+    answer.error_ = SessionError::Behind;
+    return answer;
+  }
+  bool writes = caller.kind_ == StatementKind::Write;
+  if (aCommand.kind_ == CommandKind::Execute) {
+    const auto prepared = aConnection.prepared_.find(aCommand.name_);
+    if (prepared == aConnection.prepared_.end()) {
+      Check(false, "an unknown prepared name was executed");
+      answer.error_ = SessionError::NoStatement;
+      return answer;
+    }
+    writes = prepared->second.first;
+  }
+  if (current) {
+    Check(aConnection.values_ == caller.values_, "values of another session");
+    Check(aConnection.inside_ == caller.inside_,
+          "a statement outside its transaction: " + aCommand.id_);
+    if (aConnection.inside_) {
+      Check(aConnection.owner_.empty() || aConnection.owner_ == caller.name_,
+            "a statement inside another session's transaction");
+      aConnection.owner_ = caller.name_;
+    }
+  }
+  if (aConnection.inside_ && !aConnection.reads_ && !server.primary_) {
+    answer.error_ = SessionError::ReadOnly;
+    aConnection.inside_ = false;
+    return answer;
+  }
+  if (caller.kind_ == StatementKind::Commit && current) {
+    CommitAll(server, aConnection.writes_);
+    aConnection.inside_ = false;
+    aConnection.writes_.clear();
+  } else if (writes) {
+    if (!server.primary_ || (aConnection.inside_ && aConnection.reads_)) {
+      answer.error_ = SessionError::ReadOnly;
+      return answer;
+    }
+    const Commit write{ {}, caller.item_, caller.value_ };
+    if (aConnection.inside_) {
+      aConnection.writes_.push_back(write);
+    } else if (current) {
+      CommitAll(server, { write });
+    }
+  } else if (current) {
+    CheckRead(server, caller, aConnection);
+  }
+  answer.signature_ = "signed";
+  return answer;
+}
+
+void
+SessionWorld::CommitAll(Server& aServer, const std::vector<Commit>& aWrites)
+{
+  const bool replaced = aServer.term_ < servers_[Primary()].term_;
+  for (Commit commit : aWrites) {
+    commit.point_ = { aServer.term_, aServer.log_.size() + 1 };
+    aServer.log_.push_back(commit);
+    Fate& fate = fates_[commit.value_];
+    fate.commits_++;
+    fate.position_ = commit.point_.position_;
+    fate.late_ |= replaced;
+    Check(fate.commits_ == 1, "a write took effect twice: " + commit.value_);
+    Check(!fate.refused_, "a write that was refused ran: " + commit.value_);
+  }
+}
+
+// All that the read has to show has to be in the server's log.
+void
+SessionWorld::CheckRead(const Server& aServer,
+                        const Caller& aCaller,
+                        const Connection& aConnection)
+{
+  const auto shows = [&](const std::string& aValue, const Fate& aFate) {
+    const bool logged = aFate.position_ <= aServer.log_.size() &&
+                        aServer.log_[aFate.position_ - 1].value_ == aValue;
+    return logged || std::any_of(aConnection.writes_.begin(),
+                                 aConnection.writes_.end(),
+                                 [&](const Commit& aWrite) {
+                                   return aWrite.value_ == aValue;
+                                 });
+  };
+  const bool all = aCaller.database_ == kDatabases[0];
+  const Time limit = all ? aCaller.sentAt_ : aCaller.sentAt_ - kAge;
+  const bool own = aCaller.database_ == kDatabases[1];
+  for (const auto& value : acknowledged_) {
+    const Fate& fate = fates_.at(value);
+    const bool must =
+      !fate.rolledBack_ &&
+      (fate.acknowledgedAt_ < limit || (own && aCaller.own_.contains(value)));
+    if (must) {
+      Check(shows(value, fate),
+            fmt::format("a read of '{}' lacks {} acknowledged {} ms before",
+                        aCaller.database_,
+                        value,
+                        CountMs(aCaller.sentAt_ - fate.acknowledgedAt_)));
+    }
+  }
+}
+
+std::size_t
+SessionWorld::Primary() const
+{
+  std::size_t best = 0;
+  for (std::size_t i = 0; i < servers_.size(); i++) {
+    const bool newer =
+      servers_[i].primary_ &&
+      (!servers_[best].primary_ || servers_[i].term_ > servers_[best].term_);
+    best = newer ? i : best;
+  }
+  return best;
+}
+
+// Replicas take over the newest primary's log, one pass a lag.
+void
+SessionWorld::Replicate()
+{
+  const Server& primary = servers_[Primary()];
+  if (primary.up_ && primary.primary_) {
+    for (auto& server : servers_) {
+      // A replica never follows a primary of an earlier term.
+      const bool follows =
+        server.up_ && !server.primary_ && server.term_ <= primary.term_;
+      if (&server != &primary && follows) {
+        server.log_ = primary.log_;
+        server.term_ = primary.term_;
+      }
+    }
+  }
+  At(config_.lag_, [this] { Replicate(); });
+}
+
+void
+SessionWorld::CrashServer(std::size_t aServer)
+{
+  Server& server = servers_[aServer];
+  server.up_ = false;
+  server.running_ = 0;
+  server.run_++;
+  std::vector<ConnectionKey> lost;
+  for (const auto& [key, connection] : connections_) {
+    if (connection.server_ == aServer) {
+      lost.push_back(key);
+    }
+  }
+  for (const auto& key : lost) {
+    LoseLink(key);
+  }
+}
+
+void
+SessionWorld::StartServer(std::size_t aServer)
+{
+  servers_[aServer].up_ = true;
+  servers_[aServer].primary_ =
+    servers_[aServer].primary_ && Primary() == aServer;
+}
+
+// ---- Changes of primary
+
+void
+SessionWorld::ChangePrimary(bool aStepDown)
+{
+  if (changing_) {
+    return;
+  }
+  const std::size_t old = Primary();
+  successor_ = kServers;
+  for (std::size_t i = 0; i < kServers; i++) {
+    const bool better =
+      i != old && servers_[i].up_ &&
+      (successor_ == kServers ||
+       servers_[i].log_.size() > servers_[successor_].log_.size());
+    successor_ = better ? i : successor_;
+  }
+  if (successor_ == kServers) {
+    return;
+  }
+  changing_ = true;
+  wire::Change intent;
+  intent.mutable_intent()->set_database(kGroup);
+  intent.mutable_intent()->set_term(servers_[old].term_ + 1);
+  intent.mutable_intent()->set_server(ServerName(successor_));
+  leases_.Fence(kGroup, servers_[old].term_);
+  wire::LeaseRevoke revoke;
+  revoke.set_leader_term(1);
+  auto& lease = *revoke.add_leases();
+  lease.set_database(kGroup);
+  lease.set_server(ServerName(old));
+  lease.set_term(servers_[old].term_);
+  Apply(std::move(intent));
+  for (std::size_t i = 0; i < gateways_.size(); i++) {
+    At(kNetDelay,
+       [this, i, revoke] { StepGateway(i, TakeRevocation{ revoke }); });
+  }
+  if (aStepDown && servers_[old].up_) {
+    servers_[old].primary_ = false;
+  }
+  AwaitFree(!servers_[old].primary_ || !servers_[old].up_);
+}
+
+void
+SessionWorld::AwaitFree(bool aStepDown)
+{
+  if (aStepDown || leases_.IsFree(kGroup, now_)) {
+    At(kPromoteDelay, [this] { FinishPromotion(); });
+    return;
+  }
+  At(5ms, [this, aStepDown] { AwaitFree(aStepDown); });
+}
+
+void
+SessionWorld::FinishPromotion()
+{
+  Server& next = servers_[successor_];
+  if (!next.primary_) {
+    std::uint64_t term = 0;
+    for (const auto& server : servers_) {
+      term = std::max(term, server.term_);
+    }
+    next.term_ = term + 1;
+    next.primary_ = true;
+    promotions_++;
+    std::set<std::string> kept;
+    for (const auto& commit : next.log_) {
+      kept.insert(commit.value_);
+    }
+    for (auto& [value, fate] : fates_) {
+      fate.rolledBack_ |= fate.commits_ > 0 && !kept.contains(value);
+    }
+    At(kReplaced, [this] {
+      for (std::size_t i = 0; i < kServers; i++) {
+        servers_[i].primary_ = servers_[i].primary_ && i == Primary();
+      }
+    });
+  }
+  if (!leases_.IsFree(kGroup, now_)) {
+    At(5ms, [this] { FinishPromotion(); });
+    return;
+  }
+  changing_ = false;
+  wire::Change primary;
+  primary.mutable_primary()->set_database(kGroup);
+  primary.mutable_primary()->set_server(ServerName(successor_));
+  primary.mutable_primary()->set_term(next.term_);
+  Apply(std::move(primary));
+  PublishFleet();
+}
+
+void
+SessionWorld::Disturb()
+{
+  switch (random_() % 8) {
+    case 0:
+      ChangePrimary(true);
+      break;
+    case 1:
+      ChangePrimary(false);
+      break;
+    case 2: {
+      const std::size_t primary = Primary();
+      CrashServer(primary);
+      At(200ms, [this] { ChangePrimary(false); });
+      At(1500ms, [this, primary] { StartServer(primary); });
+      break;
+    }
+    case 3: {
+      const std::size_t server = random_() % kServers;
+      if (server != Primary()) {
+        CrashServer(server);
+        At(800ms, [this, server] { StartServer(server); });
+      }
+      break;
+    }
+    case 4:
+      config_.lag_ = 400ms;
+      At(1s, [this] { config_.lag_ = 10ms; });
+      break;
+    case 5:
+      loss_ = 0.1;
+      At(600ms, [this] { loss_ = 0; });
+      break;
+    case 6:
+      frozenUntil_[random_() % gateways_.size()] = now_ + 2s;
+      break;
+    default:
+      break;
+  }
+  At(700ms + Duration(random_() % 1'500'000), [this] { Disturb(); });
+}
+
+// ---- Callers
+
+void
+SessionWorld::Send(std::size_t aCaller, SessionStatement aStatement)
+{
+  Caller& caller = callers_[aCaller];
+  aStatement.id_ = fmt::format("q{}", nextValue_++);
+  caller.waiting_ = aStatement.id_;
+  caller.kind_ = aStatement.kind_;
+  if (!caller.inside_) {
+    caller.sentAt_ = now_;
+  }
+  callerOfId_[aStatement.id_] = aCaller;
+  StepGateway(caller.gateway_,
+              TakeStatement{ caller.session_, std::move(aStatement) });
+}
+
+void
+SessionWorld::Act(std::size_t aCaller)
+{
+  Caller& caller = callers_[aCaller];
+  if (callersStopped_ && !caller.inside_) {
+    return;
+  }
+  SessionStatement statement;
+  const auto dice = random_() % 100;
+  const bool ends = caller.inside_ && caller.left_-- <= 0;
+  if (ends) {
+    statement.kind_ =
+      dice < 80 ? StatementKind::Commit : StatementKind::Rollback;
+    statement.text_ = "end";
+  } else if (dice < 4) {
+    statement.kind_ = StatementKind::Set;
+    statement.name_ = fmt::format("v{}", random_() % 2);
+    statement.argument_ = fmt::format("{}", random_() % 3);
+    caller.values_[statement.name_] = statement.argument_;
+  } else if (dice < 8) {
+    statement.kind_ = StatementKind::Prepare;
+    statement.name_ = "p";
+    statement.writes_ = random_() % 2 == 0 && !caller.reads_;
+    statement.argument_ = fmt::format("shape{}", random_() % 3);
+    caller.prepared_["p"] = { statement.writes_, statement.argument_ };
+  } else if (dice < 18 && !caller.inside_) {
+    statement.kind_ =
+      dice < 14 ? StatementKind::Begin : StatementKind::BeginRead;
+    caller.sentAt_ = now_;
+    caller.reads_ = dice >= 14;
+    caller.txWrites_.clear();
+    caller.left_ = 1 + static_cast<int>(random_() % 3);
+  } else if (dice < 30 && caller.prepared_.contains("p") &&
+             !(caller.prepared_["p"].first && caller.inside_ &&
+               caller.reads_)) {
+    statement.kind_ = StatementKind::Execute;
+    statement.name_ = "p";
+    caller.item_ = "i";
+    caller.value_ = fmt::format("x{}", nextValue_++);
+    statement.argument_ = "i " + caller.value_;
+    if (caller.inside_ && caller.prepared_["p"].first) {
+      caller.txWrites_[caller.value_] = caller.value_;
+    }
+  } else if (dice < 60 && !(caller.inside_ && caller.reads_)) {
+    statement.kind_ = StatementKind::Write;
+    caller.item_ = "i";
+    caller.value_ = fmt::format("x{}", nextValue_++);
+    statement.text_ = "write " + caller.value_;
+    if (caller.inside_) {
+      caller.txWrites_[caller.value_] = caller.value_;
+    }
+  } else {
+    statement.kind_ = StatementKind::Read;
+    statement.text_ = "read";
+  }
+  Send(aCaller, std::move(statement));
+}
+
+void
+SessionWorld::Answered(std::size_t aCaller, const SessionReply& aReply)
+{
+  Caller& caller = callers_[aCaller];
+  Check(!caller.waiting_.empty(), "an answer to nothing");
+  caller.waiting_.clear();
+  const bool failed = aReply.error_.has_value();
+  (failed ? refused_ : done_)++;
+  const auto settle = [&](const std::string& aValue, bool aAcknowledged) {
+    Fate& fate = fates_[aValue];
+    if (aAcknowledged) {
+      Check(fate.commits_ == 1, "acknowledged without a commit: " + aValue);
+      Check(!fate.late_, "acknowledged at a replaced primary: " + aValue);
+      fate.acknowledged_ = true;
+      fate.acknowledgedAt_ = now_;
+      acknowledged_.push_back(aValue);
+      caller.own_.insert(aValue);
+    } else {
+      Check(fate.commits_ == 0, "refused, though it had run: " + aValue);
+      fate.refused_ = true;
+    }
+  };
+  const bool single =
+    !caller.inside_ &&
+    (caller.kind_ == StatementKind::Write ||
+     (caller.kind_ == StatementKind::Execute && caller.prepared_["p"].first));
+  if (single && (!failed || IsPromise(*aReply.error_))) {
+    settle(caller.value_, !failed);
+  }
+  const bool commits = caller.kind_ == StatementKind::Commit;
+  const bool rollsBack = caller.kind_ == StatementKind::Rollback;
+  if (caller.inside_ && (commits || rollsBack)) {
+    const bool known = rollsBack || !failed || IsPromise(*aReply.error_);
+    for (const auto& [value, same] : caller.txWrites_) {
+      if (known) {
+        settle(value, commits && !failed);
+      }
+    }
+    caller.inside_ = false;
+    caller.reads_ = false;
+  } else if (caller.inside_ && failed) {
+    caller.left_ = 0;
+  }
+  if (!failed && (caller.kind_ == StatementKind::Begin ||
+                  caller.kind_ == StatementKind::BeginRead)) {
+    caller.inside_ = true;
+  }
+  At(Duration(1000 + random_() % 20'000), [this, aCaller] { Act(aCaller); });
+}
+
+} // namespace jaydoor::tests
--- /dev/null
+++ b/tests/SessionWorld.h
@@ -0,0 +1,185 @@
+#pragma once
+
+// Gateways in front of one group of fake servers under virtual time, with
+// callers that write and read at random, and the checks of what they are told.
+//
+//   SessionWorld world(seed);
+//   world.Run(5s);
+//   world.Failures();   // empty if every promise held
+//
+// The same seed gives the same run. Faults: servers that crash, fall behind,
+// lose answers or hold them; gateways that freeze; changes of primary that
+// wait for the leases.
+
+#include "control/LeaseTable.h"
+#include "gateway/Gateway.h"
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace jaydoor::tests {
+
+struct SessionWorldConfig
+{
+  std::uint64_t seed_ = 1;
+  std::size_t gateways_ = 2;
+  std::size_t sessions_ = 8; // at each gateway
+  Duration lag_ = 10ms;      // of replicas
+  Duration work_ = 4ms;      // of a statement
+  unsigned slots_ = 3;
+  unsigned connections_ = 20;
+  bool faults_ = true;
+};
+
+class SessionWorld
+{
+public:
+  explicit SessionWorld(SessionWorldConfig aConfig);
+
+  void Run(Duration aTime);
+  Time Now() const { return now_; }
+  const std::vector<std::string>& Failures() const { return failures_; }
+
+  std::size_t Done() const { return done_; }
+  std::size_t Refused() const { return refused_; }
+  std::size_t Promotions() const { return promotions_; }
+
+  // Faults by hand.
+  void CrashServer(std::size_t aServer);
+  void StartServer(std::size_t aServer);
+  void SetLag(Duration aLag) { config_.lag_ = aLag; }
+  void SetAnswerLoss(double aShare) { loss_ = aShare; }
+  // Replaces the primary as the leader would; `aStepDown`: it can be reached.
+  void ChangePrimary(bool aStepDown);
+  void StopCallers() { callersStopped_ = true; }
+
+private:
+  struct Commit
+  {
+    LogPoint point_;
+    std::string item_;
+    std::string value_;
+  };
+
+  struct Connection
+  {
+    std::size_t server_ = 0;
+    std::size_t gateway_ = 0;
+    bool inside_ = false;
+    bool reads_ = false;
+    std::map<std::string, std::string> values_;
+    std::map<std::string, std::pair<bool, std::string>> prepared_;
+    std::vector<Commit> writes_; // of the open transaction
+    std::string owner_;          // session that began the transaction
+    std::deque<ServerCommand> inbox_;
+    bool busy_ = false;
+  };
+
+  struct Server
+  {
+    bool up_ = true;
+    bool primary_ = false;
+    std::uint64_t term_ = 1;
+    std::vector<Commit> log_;
+    unsigned running_ = 0;
+    std::uint64_t run_ = 1; // raised at each crash
+  };
+
+  struct Caller
+  {
+    std::size_t gateway_ = 0;
+    SessionId session_ = 0;
+    std::string name_;
+    std::string database_;
+    std::map<std::string, std::string> values_;
+    std::map<std::string, std::pair<bool, std::string>> prepared_;
+    std::string waiting_; // id of the statement under way
+    StatementKind kind_ = StatementKind::Malformed;
+    std::string item_;
+    std::string value_; // that is written
+    Time sentAt_;       // of the statement, or of its transaction's begin
+    bool inside_ = false;
+    bool reads_ = false;
+    std::map<std::string, std::string> txWrites_;
+    int left_ = 0;              // statements until the transaction ends
+    std::set<std::string> own_; // values acknowledged to this session
+  };
+
+  // What the world knows of one written value.
+  struct Fate
+  {
+    int commits_ = 0;
+    bool refused_ = false;
+    bool acknowledged_ = false;
+    Time acknowledgedAt_;
+    bool rolledBack_ = false;  // by a change of primary
+    bool late_ = false;        // committed at a primary that was replaced
+    std::size_t position_ = 0; // in the log
+  };
+
+  using Task = std::function<void()>;
+
+  void At(Duration aDelay, Task aTask);
+  void Check(bool aHolds, const std::string& aWhat);
+  void StepGateway(std::size_t aGateway, GatewayEvent aEvent);
+  void Perform(std::size_t aGateway, GatewayAction& aAction);
+  void TickGateway(std::size_t aGateway);
+  void PublishFleet();
+
+  using ConnectionKey = std::pair<std::size_t, ServerLinkId>;
+
+  void Receive(ConnectionKey aKey, ServerCommand aCommand);
+  void RunNext(ConnectionKey aKey);
+  void AnswerLink(ConnectionKey aKey, ServerAnswer aAnswer);
+  void LoseLink(ConnectionKey aKey);
+  void Apply(wire::Change aChange);
+  void Grant(std::size_t aGateway, const wire::LeaseRequest& aRequest);
+  void AwaitFree(bool aStepDown);
+  ServerAnswer Execute(Connection& aConnection, const ServerCommand& aCommand);
+  ServerAnswer ExecuteStatement(Connection& aConnection,
+                                const ServerCommand& aCommand);
+  void CheckRead(const Server& aServer,
+                 const Caller& aCaller,
+                 const Connection& aConnection);
+  void CommitAll(Server& aServer, const std::vector<Commit>& aWrites);
+  bool Holds(const Server& aServer, LogPoint aPoint) const;
+  void Replicate();
+  std::size_t Primary() const;
+
+  void Act(std::size_t aCaller);
+  void Send(std::size_t aCaller, SessionStatement aStatement);
+  void Answered(std::size_t aCaller, const SessionReply& aReply);
+  void Disturb();
+  void FinishPromotion();
+
+  SessionWorldConfig config_;
+  std::mt19937_64 random_;
+  Time now_{ 1000s };
+  std::uint64_t sequence_ = 0;
+  std::map<std::pair<Time, std::uint64_t>, Task> tasks_;
+  std::vector<std::unique_ptr<Gateway>> gateways_;
+  std::vector<Time> frozenUntil_;
+  std::vector<Server> servers_;
+  std::map<ConnectionKey, Connection> connections_;
+  std::vector<Caller> callers_;
+  std::map<std::string, std::size_t> callerOfId_;
+  std::map<std::string, Fate> fates_;     // by written value
+  std::vector<std::string> acknowledged_; // values, in order
+  ControlState state_;
+  std::uint64_t index_ = 0;
+  LeaseTable leases_{ LeaseTiming{} };
+  bool changing_ = false;
+  std::size_t successor_ = 0;
+  std::uint64_t nextValue_ = 1;
+  double loss_ = 0;
+  bool callersStopped_ = false;
+  std::size_t done_ = 0;
+  std::size_t refused_ = 0;
+  std::size_t promotions_ = 0;
+  std::vector<std::string> failures_;
+};
+
+} // namespace jaydoor::tests
