--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -620,11 +620,13 @@
   }
   if (state_.CurrentDocument().version() != notedDocument_) {
     notedDocument_ = state_.CurrentDocument().version();
-    aOut.push_back(ControlNote{ Event::DocumentInForce,
-                                fmt::format("version={} bytes={} index={}",
-                                            notedDocument_,
-                                            state_.DocumentBody()->size(),
-                                            state_.Index()) });
+    const auto& body = state_.DocumentBody();
+    aOut.push_back(
+      ControlNote{ body ? Event::DocumentInForce : Event::DocumentRefused,
+                   fmt::format("version={} bytes={} index={}",
+                               notedDocument_,
+                               body ? body->size() : 0,
+                               state_.Index()) });
   }
   for (const auto& [name, database] : state_.Databases()) {
     std::uint64_t& noted = notedTerms_[name];
--- a/control/ControlState.cpp
+++ b/control/ControlState.cpp
@@ -1,5 +1,7 @@
 #include "control/ControlState.h"
 
+#include "base/Compress.h"
+
 #include <algorithm>
 
 namespace jaydoor {
@@ -109,10 +111,19 @@
 {
   if (aDocument.version() > document_.version()) {
     document_ = aDocument;
-    documentBody_ = std::make_shared<const std::string>(document_.body());
+    ReadDocumentBody();
   }
 }
 
+// None if it can't be read.
+void
+ControlState::ReadDocumentBody()
+{
+  auto body = Decompress(document_.body(), kMaxDocumentBytes);
+  documentBody_ =
+    body ? std::make_shared<const std::string>(std::move(*body)) : nullptr;
+}
+
 void
 ControlState::ApplyHolder(const wire::LeaseHolder& aHolder)
 {
@@ -259,7 +270,7 @@
     ApplyHolder(holder);
   }
   document_ = aSnapshot.document();
-  documentBody_ = std::make_shared<const std::string>(document_.body());
+  ReadDocumentBody();
   recent_.clear();
   recentBytes_ = 0;
   ParseCurrent();
--- a/control/ControlState.h
+++ b/control/ControlState.h
@@ -18,6 +18,7 @@
 
 namespace jaydoor {
 
+inline constexpr std::size_t kMaxDocumentBytes = 16UL * 1024 * 1024; // whole
 inline constexpr std::size_t kKeptVersions = 20;     // of the rules
 inline constexpr std::size_t kKeptOutcomes = 10'000; // of operators' requests
 inline constexpr std::size_t kKeptChanges = 1024;    // for VMs that are behind
@@ -68,6 +69,7 @@
   void ApplyRules(const wire::RuleChange& aChange);
   void ApplyUpstream(const wire::UpstreamChange& aChange);
   void RemoveServer(const ServerId& aServer);
+  void ReadDocumentBody();
   void ApplyDocument(const wire::Document& aDocument);
   void ApplyHolder(const wire::LeaseHolder& aHolder);
   void ApplyIntent(const wire::PromotionIntent& aIntent);
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -91,10 +91,10 @@
 struct RaftTiming
 {
   Duration heartbeat_ = 50ms;
-  Duration electionMin_ = 300ms; // no leader heard: an election starts
-  Duration electionMax_ = 600ms;
-  Duration lease_ = 200ms;   // below electionMin_, for clock rates
-  Duration restart_ = 220ms; // after a start: beyond a lease granted before it
+  Duration electionMin_ = 250ms; // no leader heard: an election starts
+  Duration electionMax_ = 450ms;
+  Duration lease_ = 180ms;   // below electionMin_, for clock rates
+  Duration restart_ = 200ms; // after a start: beyond a lease granted before it
 };
 
 // ---- 2. The algorithm
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -1,5 +1,6 @@
 #include "daemon/ControlShell.h"
 
+#include "base/Compress.h"
 #include "daemon/AdminJson.h"
 #include "daemon/Clock.h"
 #include "daemon/Http.h"
@@ -540,6 +541,7 @@
 ControlShell::StoreDocument(wire::Document aDocument)
 {
   const std::uint64_t id = impl_->nextOperator_++;
+  aDocument.set_body(Compress(aDocument.body()));
   // Named, as gcc 12 destroys temporaries of a co_await twice.
   ControlEvent event = TakeDocument{ id, std::move(aDocument) };
   const auto pending = co_await impl_->AwaitDocument(std::move(event), id);
--- a/daemon/ControlShell.h
+++ b/daemon/ControlShell.h
@@ -68,8 +68,8 @@
 
   // On the control thread:
   void Announce(wire::Upstream aUpstream);
-  // True once the configuration, or a later one, is stored for good; false if
-  // that is not known in time.
+  // Takes the body as the operator sent it. True once the configuration, or a
+  // later one, is stored for good; false if that is not known in time.
   boost::asio::awaitable<bool> StoreDocument(wire::Document aDocument);
   // The newest configuration, or none if this VM can't prove that it has it.
   boost::asio::awaitable<std::shared_ptr<const std::string>> ReadDocument();
--- a/daemon/SessionShell.h
+++ b/daemon/SessionShell.h
@@ -222,7 +222,7 @@
   void TakeView(const FleetViewPtr& aView)
   {
     TakeFleet fleet{ aView, nullptr };
-    if (aView->documentVersion_ > documentVersion_) {
+    if (aView->documentVersion_ > documentVersion_ && aView->document_) {
       fleet.catalog_ = reader_(aView->documentVersion_, *aView->document_);
       documentVersion_ = aView->documentVersion_;
     }
