--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,360 @@
+// The adapter: bytes, bodies and files of the platform in the product's terms.
+
+#include "platform/Address.h"
+#include "platform/ConfigBody.h"
+#include "platform/HeartbeatBody.h"
+#include "platform/LineCodec.h"
+#include "platform/NodeFile.h"
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <regex>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+namespace jaydoor::tests {
+namespace {
+
+using namespace platform;
+
+SessionStatement
+ParseStatement(std::string_view aLine)
+{
+  LineCodec::CallerParser parser;
+  parser.Push(aLine);
+  const auto message = parser.Next();
+  REQUIRE(message.has_value());
+  REQUIRE(message->kind_ == CallerMessage::Kind::Statement);
+  return message->statement_;
+}
+
+std::string
+WriteCommand(const ServerCommand& aCommand)
+{
+  std::string bytes;
+  LineCodec::WriteCommand(bytes, aCommand);
+  return bytes;
+}
+
+std::string
+MakeConfig(std::string_view aRoutes, std::string_view aVersion = "7")
+{
+  std::string body = R"({"version":)";
+  body += aVersion;
+  body += R"(,"routes":[)";
+  body += aRoutes;
+  body += R"(],"services":[{"name":"s1","maxConns":21}],)"
+          R"("limits":{"txIdleMs":2500}})";
+  return body;
+}
+
+std::string
+MakeRoute(std::string_view aHost,
+          std::string_view aService = "s1",
+          std::string_view aTimeout = "1000")
+{
+  std::string route = R"({"name":"r","host":")";
+  route += aHost;
+  route += R"(","pathPrefix":"/","routeType":"read_your_writes","timeoutMs":)";
+  route += aTimeout;
+  route += R"(,"targetLatencyMs":400,"priority":1,"service":")";
+  route += aService;
+  route += R"(","maxAttempts":2,"maxStalenessMs":2500})";
+  return route;
+}
+
+std::string
+WriteFile(std::string_view aText)
+{
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("jaydoor-node-" + std::to_string(std::random_device{}()));
+  std::ofstream(path) << aText;
+  return path.string();
+}
+
+} // namespace
+
+TEST_CASE("Lines of the wire")
+{
+  SECTION("a session's statements are told apart")
+  {
+    CHECK(ParseStatement("QUERY q1 BEGIN\r\n").kind_ == StatementKind::Begin);
+    CHECK(ParseStatement("QUERY q1 BEGIN READ\r\n").kind_ ==
+          StatementKind::BeginRead);
+    CHECK(ParseStatement("QUERY q1 COMMIT\r\n").kind_ == StatementKind::Commit);
+    const auto write = ParseStatement("QUERY q1 WRITE 1a4 some data\r\n");
+    CHECK(write.kind_ == StatementKind::Write);
+    CHECK(write.id_ == "q1");
+    CHECK(write.text_ == "WRITE 1a4 some data");
+    const auto set = ParseStatement("QUERY q1 SET zone a b\r\n");
+    CHECK(set.name_ == "zone");
+    CHECK(set.argument_ == "a b");
+    const auto prepare = ParseStatement("QUERY q1 PREPARE s1 WRITE q2c\r\n");
+    CHECK(prepare.kind_ == StatementKind::Prepare);
+    CHECK(prepare.writes_);
+    CHECK(prepare.argument_ == "q2c");
+    const auto execute = ParseStatement("QUERY q1 EXECUTE s1 1a4 data\r\n");
+    CHECK(execute.name_ == "s1");
+    CHECK(execute.argument_ == "1a4 data");
+    CHECK(ParseStatement("QUERY q1 DROP x\r\n").kind_ ==
+          StatementKind::Malformed);
+    CHECK(ParseStatement("QUERY q1 SINCE 1.1 READ x\r\n").kind_ ==
+          StatementKind::Malformed);
+  }
+
+  SECTION("messages come in pieces, and several at once")
+  {
+    LineCodec::CallerParser parser;
+    parser.Push("OPEN les");
+    CHECK_FALSE(parser.Next().has_value());
+    parser.Push("sons u1\r\nQUERY q1 COMMIT\r\nCLO");
+    CHECK(parser.Next()->database_ == "lessons");
+    CHECK(parser.Next()->statement_.kind_ == StatementKind::Commit);
+    CHECK_FALSE(parser.Next().has_value());
+    parser.Push("SE\r\n");
+    CHECK(parser.Next()->kind_ == CallerMessage::Kind::Close);
+  }
+
+  SECTION("a message that is too long, or none, ends the session")
+  {
+    LineCodec::CallerParser parser;
+    parser.Push(std::string(1024UL * 1024 + 1, 'x'));
+    CHECK(parser.Next()->kind_ == CallerMessage::Kind::TooLarge);
+    LineCodec::CallerParser other;
+    other.Push("GET / HTTP/1.1\r\n");
+    CHECK(other.Next()->kind_ == CallerMessage::Kind::Unreadable);
+  }
+
+  SECTION("random bytes never crash a parser")
+  {
+    std::mt19937_64 random(1);
+    for (int round = 0; round < 300; round++) {
+      std::string bytes(random() % 300, '\0');
+      for (char& byte : bytes) {
+        byte = static_cast<char>(random() % 4 == 0 ? '\n' : random());
+      }
+      LineCodec::CallerParser caller;
+      caller.Push(bytes);
+      while (caller.Next()) {
+      }
+      LineCodec::ServerParser server;
+      server.Push(bytes);
+      for (auto message = server.Next();
+           message && message->kind_ == ServerMessage::Kind::Answer;
+           message = server.Next()) {
+      }
+    }
+    CHECK(true);
+  }
+
+  SECTION("a server's answer is read as a whole")
+  {
+    LineCodec::ServerParser parser;
+    parser.Push("ROW a b\r\nCOMPLETE 7.1f3\r\nREADY T 3.12");
+    CHECK_FALSE(parser.Next().has_value());
+    parser.Push("09\r\nERROR READONLY i-1\r\nREADY E 3.1209\r\n");
+    const auto first = parser.Next();
+    CHECK(first->answer_.rows_ == std::vector<std::string>{ "a b" });
+    CHECK(first->answer_.signature_ == "7.1f3");
+    CHECK(first->answer_.state_ == TransactionState::Open);
+    CHECK(first->answer_.point_ == LogPoint{ 3, 1209 });
+    const auto second = parser.Next();
+    CHECK(second->answer_.error_ == SessionError::ReadOnly);
+    CHECK(second->answer_.state_ == TransactionState::Failed);
+  }
+
+  SECTION("commands keep the caller's text, and add a log point")
+  {
+    ServerCommand read;
+    read.id_ = "q1";
+    read.text_ = "READ 1a4";
+    read.since_ = { 3, 1207 };
+    CHECK(WriteCommand(read) == "QUERY q1 SINCE 3.1207 READ 1a4\r\n");
+    ServerCommand begin(CommandKind::BeginRead);
+    begin.since_ = { 3, 9 };
+    CHECK(WriteCommand(begin) == "QUERY - SINCE 3.9 BEGIN READ\r\n");
+    CHECK(WriteCommand(ServerCommand(CommandKind::Reset)) ==
+          "QUERY - RESET\r\n");
+  }
+
+  SECTION("a status row tells role, term and position")
+  {
+    ServerAnswer answer;
+    answer.rows_ = { "replica 3 3.1209 0 12 2 17" };
+    const auto status = LineCodec::ReadStatus(answer);
+    CHECK_FALSE(status->primary_);
+    CHECK(status->term_ == 3);
+    CHECK(status->received_ == LogPoint{ 3, 1209 });
+    answer.rows_ = { "leader 3 3.1209" };
+    CHECK_FALSE(LineCodec::ReadStatus(answer).has_value());
+    answer.error_ = SessionError::Overloaded;
+    CHECK_FALSE(LineCodec::ReadStatus(answer).has_value());
+  }
+}
+
+TEST_CASE("Configurations of the platform")
+{
+  SECTION("a whole one is read")
+  {
+    const auto catalog = ReadConfigBody(MakeConfig(MakeRoute("lessons")));
+    REQUIRE(catalog.has_value());
+    CHECK(catalog->version_ == 7);
+    CHECK(catalog->transactionIdle_ == 2500ms);
+    CHECK(catalog->ConnectionLimit("s1") == 21);
+    const CatalogDatabase* database = catalog->Find("lessons");
+    REQUIRE(database != nullptr);
+    CHECK(database->consistency_ == Consistency::ReadYourWrites);
+    CHECK(database->maxStaleness_ == 2500ms);
+    CHECK(database->statementLimit_ == 1s);
+    CHECK(database->target_ == 400ms);
+    CHECK(catalog->Find("other") == nullptr);
+  }
+
+  SECTION("each mistake refuses the whole")
+  {
+    const std::string good = MakeConfig(MakeRoute("a"));
+    const std::vector<std::string> bad = {
+      "",
+      "[]",
+      good.substr(0, good.size() / 2),
+      MakeConfig(MakeRoute("a"), "\"7\""),
+      MakeConfig(MakeRoute("a"), "0"),
+      MakeConfig(MakeRoute("a", "unknown")),
+      MakeConfig(MakeRoute("a", "s1", "0")),
+      MakeConfig(MakeRoute("a", "s1", "-5")),
+      MakeConfig(MakeRoute("a") + "," + MakeRoute("a")),
+      MakeConfig("1"),
+      R"({"version":3,"routes":{},"services":[]})",
+      R"({"version":3,"routes":[]})",
+    };
+    for (const auto& body : bad) {
+      INFO(body);
+      CHECK_FALSE(ReadConfigBody(body).has_value());
+    }
+    CHECK(ReadConfigBody(good).has_value());
+  }
+}
+
+TEST_CASE("Heartbeats of the platform")
+{
+  const std::string good =
+    R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":5,"state":"ready","coldRemainingMs":0,"dbRole":"primary",)"
+    R"("seqNo":4,"born":1700000000123})";
+
+  SECTION("a whole one is read")
+  {
+    const auto upstream = ReadHeartbeatBody("i-1", good);
+    REQUIRE(upstream.has_value());
+    CHECK(upstream->server() == "i-1");
+    CHECK(upstream->host() == "10.1.0.9");
+    CHECK(upstream->port() == 8080);
+    CHECK(upstream->claims_primary());
+    CHECK_FALSE(upstream->leaving());
+    CHECK(upstream->born_ms() == 1700000000123);
+    CHECK(upstream->sequence() == 4);
+  }
+
+  SECTION("one that says something else names no server")
+  {
+    const auto with = [&](std::string_view aOld, std::string_view aNew) {
+      std::string body = good;
+      body.replace(body.find(aOld), aOld.size(), aNew);
+      return body;
+    };
+    CHECK_FALSE(ReadHeartbeatBody("i-1", "\x01\x02").has_value());
+    CHECK_FALSE(ReadHeartbeatBody("", good).has_value());
+    CHECK_FALSE(ReadHeartbeatBody("i-1", with("ready", "asleep")).has_value());
+    CHECK_FALSE(ReadHeartbeatBody("i-1", with("primary", "x")).has_value());
+    CHECK_FALSE(ReadHeartbeatBody("i-1", with(":5,", ":\"5\",")).has_value());
+    CHECK_FALSE(ReadHeartbeatBody("i-1", with(":8080", "")).has_value());
+    CHECK_FALSE(
+      ReadHeartbeatBody("i-1", with("\"s1\"", "{\"a\":1}")).has_value());
+  }
+}
+
+TEST_CASE("Settings files of the platform")
+{
+  const std::string good = R"(nodeName: "core-a-1"
+zone: "a"
+ip: "10.1.0.10"
+listen:
+  control: "10.1.0.10:8782"
+internalPortRange: [7440, 7455]
+seeds: ["10.1.0.10:8782", "10.2.0.7:8782"]
+bootstrap: true
+dataDir: "/data/x"
+limits: {maxFds: 4096}
+faultTolerance: {machines: 2}
+bounds: {graceS: 6}
+cloudApi: {address: "10.200.0.1:8783"}
+someNewField: [1, 2]
+)";
+
+  SECTION("a whole one becomes the product's settings")
+  {
+    const auto file = ReadNodeFile(WriteFile(good));
+    REQUIRE(file.has_value());
+    CHECK_FALSE(file->front_.has_value());
+    CHECK(file->control_->port_ == 8782);
+    const Settings settings = MakeSettings(*file);
+    CHECK(settings.vm_ == "10.1.0.10");
+    CHECK(settings.controlPort_ == 7440);
+    CHECK(settings.voterCount_ == 5);
+    CHECK(settings.voters_ ==
+          std::vector<std::string>{ "10.1.0.10", "10.2.0.7" });
+    CHECK(settings.mayFound_);
+    CHECK(settings.dataFolder_ == "/data/x");
+  }
+
+  SECTION("a wrong one names the field and the remedy")
+  {
+    const std::vector<std::string> bad = {
+      "",
+      "- 1",
+      "nodeName: [",
+      "nodeName: x\nzone: y\n",
+      std::regex_replace(good, std::regex("seeds: .*"), "seeds: []"),
+      std::regex_replace(good, std::regex("7455"), "7440"),
+    };
+    for (const auto& text : bad) {
+      INFO(text);
+      const auto file = ReadNodeFile(WriteFile(text));
+      REQUIRE_FALSE(file.has_value());
+      CHECK(file.error().kind_ == ErrorKind::BadSetting);
+      CHECK(file.error().message_.find("correct the file") !=
+            std::string::npos);
+    }
+    CHECK_FALSE(ReadNodeFile("/nonexistent").has_value());
+  }
+}
+
+TEST_CASE("The platform's names stay in its folder")
+{
+  const std::regex names(
+    "Config\\.(Replace|Fetch)|Instances\\.|X-Jaydoor|routeType|"
+    "maxStalenessMs|targetLatencyMs|heartbeatIntervalMs|coldRemainingMs|"
+    "JAYDOOR_NODE_FILE|WRONGSRV|CONNLIMIT|INDOUBT|bounded_staleness");
+  namespace fs = std::filesystem;
+  for (const auto& entry : fs::recursive_directory_iterator(JAYDOOR_SOURCES)) {
+    const std::string path = entry.path().string();
+    const bool source = path.ends_with(".h") || path.ends_with(".cpp");
+    const std::string inside =
+      fs::relative(entry.path(), JAYDOOR_SOURCES).string();
+    const bool ours =
+      !inside.starts_with("platform/") && !inside.starts_with("tests/") &&
+      !inside.starts_with("build") && !inside.starts_with("target");
+    if (!source || !ours) {
+      continue;
+    }
+    std::ifstream in(path);
+    std::stringstream text;
+    text << in.rdbuf();
+    INFO(inside);
+    CHECK_FALSE(std::regex_search(text.str(), names));
+  }
+}
+
+} // namespace jaydoor::tests
