--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -18,7 +18,9 @@
 constexpr Duration kSilentAfter = 300ms; // a primary that does not answer
 constexpr Duration kReportEvery = 200ms; // a suspicion
 constexpr Duration kLinkLimit = 4s;      // a statement without any answer
-constexpr Duration kIdleLinkLimit = 50s; // servers close idle connections
+// An idle connection is worth less than the room it takes: servers count those
+// of a VM that lost its power until they notice.
+constexpr Duration kIdleLinkLimit = 2s;
 
 } // namespace
 
@@ -265,15 +267,13 @@
     if (primary == nullptr || group.term_ == 0) {
       continue;
     }
-    Time oldest = Time::max();
-    for (const ServerLinkId id : primary->links_) {
-      const Link& link = links_.at(id);
-      const bool waits = link.state_ != LinkState::Opening &&
-                         !link.sent_.empty() &&
-                         link.sentAt_ > primary->heardAt_;
-      oldest = waits ? std::min(oldest, link.sentAt_) : oldest;
-    }
-    const bool silent = oldest != Time::max() && aNow - oldest > kSilentAfter;
+    const bool waits = std::any_of(
+      primary->links_.begin(), primary->links_.end(), [&](ServerLinkId aId) {
+        const Link& link = links_.at(aId);
+        return link.state_ != LinkState::Opening && !link.sent_.empty() &&
+               aNow - link.sentAt_ > kSilentAfter;
+      });
+    const bool silent = waits && aNow - primary->heardAt_ > kSilentAfter;
     if (silent && primary->failures_ == 0 && primary->opening_ == 0) {
       OpenLink(*primary, aNow, aOut); // a new one proves which of the two it is
     }
