--- a/base/Log.h
+++ b/base/Log.h
@@ -80,6 +80,7 @@
   ServerReached = 420,
   ServerUnreachable = 421,
   ServerMoved = 422,
+  ServerFull = 423,
   AnnounceRefused = 430,
   LinesDropped = 440,
 };
--- a/control/LeaseTable.cpp
+++ b/control/LeaseTable.cpp
@@ -78,7 +78,7 @@
     granted.set_term(database.primary_term());
     granted.set_duration_us(length.count());
   }
-  grant.set_holders(static_cast<std::uint32_t>(CountContacts(aNow)));
+  grant.set_holders(static_cast<std::uint32_t>(aState.Holders().size()));
   return grant;
 }
 
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -19,7 +19,7 @@
 constexpr Duration kResendPause = 15ms; // inside a transaction
 constexpr Duration kBlockFirst = 50ms;  // after a failed connection
 constexpr Duration kBlockMost = 200ms;  //
-constexpr Duration kBlockLimit = 300ms; // after a refusal for connections
+constexpr Duration kBlockLimit = 60ms;  // after a refusal for connections
 constexpr int kMaxAttempts = 6;         // of one statement
 constexpr int kSmoothing = 8;           // weight of the old service time
 
@@ -96,6 +96,13 @@
   Server& server = servers_.at(id);
   if (aEvent.error_ == SessionError::ConnectionLimit) {
     server.blockedUntil_ = aNow + kBlockLimit;
+    aOut.push_back(
+      WriteNote{ Event::ServerFull,
+                 fmt::format("server={} database={} own={} share={}",
+                             id,
+                             server.info_.database(),
+                             server.links_.size(),
+                             LinkShare(server)) });
   } else if (opening) {
     NoteFailure(id,
                 aNow,
--- a/gateway/GatewaySessions.cpp
+++ b/gateway/GatewaySessions.cpp
@@ -12,9 +12,9 @@
 namespace jaydoor {
 namespace {
 
-constexpr Duration kOpeningWait = 1500ms; // callers give up after two seconds
-constexpr std::size_t kMaxInbox = 64;     // statements sent ahead
-constexpr std::size_t kMaxNames = 4096;   // values or prepared statements
+constexpr Duration kOpeningWait = 400ms; // then another VM may know more
+constexpr std::size_t kMaxInbox = 64;    // statements sent ahead
+constexpr std::size_t kMaxNames = 4096;  // values or prepared statements
 constexpr double kHoldShare = 0.45; // of the limit; then a retry elsewhere pays
 
 bool
