--- a/base/Log.cpp
+++ b/base/Log.cpp
@@ -101,6 +101,7 @@
   EventInfo{ Event::Reloaded, Level::Info, "reloaded" },
   EventInfo{ Event::ReloadRefused, Level::Error, "reload_refused" },
   EventInfo{ Event::ReadinessChanged, Level::Info, "readiness_changed" },
+  EventInfo{ Event::Isolated, Level::Warning, "isolated" },
   EventInfo{ Event::SettingRefused, Level::Error, "setting_refused" },
   EventInfo{ Event::RulesFileRefused, Level::Error, "rules_file_refused" },
   EventInfo{ Event::DiskFailed, Level::Error, "disk_failed" },
--- a/base/Log.h
+++ b/base/Log.h
@@ -34,6 +34,7 @@
   Reloaded = 105,
   ReloadRefused = 106,
   ReadinessChanged = 107,
+  Isolated = 108,
   SettingRefused = 103,
   RulesFileRefused = 104,
   DiskFailed = 110,
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -146,10 +146,12 @@
     started_ = true;
     // It may have acknowledged a leader just before it was restarted; beyond
     // that leader's lease nothing speaks against an election.
+    // Where all voters were restarted, no leader is left, and they need not
+    // wait: they ask each other at once.
     loyalUntil_ = aNow + timing_.restart_;
-    const auto spread = static_cast<std::uint64_t>(timing_.restart_.count());
-    electionAt_ =
-      loyalUntil_ + Duration(static_cast<Duration::rep>(random_() % spread));
+    const auto spread = static_cast<std::uint64_t>(timing_.fresh_.count());
+    electionAt_ = aNow + Duration(static_cast<Duration::rep>(
+                           random_() % (spread + 1)));
   }
   if (role_ == Role::Leader) {
     const bool alone = aNow - leaderSince_ >= timing_.electionMin_ &&
@@ -207,7 +209,16 @@
   leader_.clear();
   votes_ = { self_ };
   ResetElection(aNow);
+  if (fresh_ && aPre) {
+    // The next try comes soon: others may have been started a little later.
+    freshOnes_.clear();
+    const auto spread = static_cast<std::uint64_t>(timing_.fresh_.count());
+    electionAt_ = aNow + timing_.fresh_ +
+                  Duration(static_cast<Duration::rep>(random_() % spread));
+  }
+  allFresh_ = !aPre && IsEveryoneFresh();
   if (!aPre) {
+    fresh_ = false;
     hard_.set_term(hard_.term() + 1);
     hard_.set_voted_for(self_);
     aOut.push_back(SaveHardState{ hard_ });
@@ -230,10 +241,20 @@
     vote.set_last_index(LastIndex());
     vote.set_last_term(TermAt(LastIndex()));
     vote.set_pre(aPre);
+    vote.set_all_fresh(allFresh_);
     aOut.push_back(SendVoter{ id, std::move(message) });
   }
 }
 
+// True if this voter and all others have said that they know of no leader. One
+// that had been elected meanwhile would have had a vote of theirs.
+bool
+Raft::IsEveryoneFresh() const
+{
+  const auto others = voters_.voters_size() - 1;
+  return fresh_ && static_cast<int>(freshOnes_.size()) == others;
+}
+
 bool
 Raft::IsUpToDate(const wire::VoteRequest& aRequest) const
 {
@@ -252,11 +273,15 @@
 {
   // While a leader is heard, nobody else gets a vote.
   const bool sticky =
-    role_ == Role::Leader ? HasLease(aNow) : !started_ || aNow < loyalUntil_;
+    role_ == Role::Leader
+      ? HasLease(aNow)
+      : !started_ ||
+          (aNow < loyalUntil_ && !(fresh_ && aRequest.all_fresh()));
   const bool mayVote = IsVoter(self_) && IsVoter(aFrom) && !sticky;
   auto message = MakeMessage();
   auto& reply = *message.mutable_vote_reply();
   reply.set_pre(aRequest.pre());
+  reply.set_fresh(fresh_ && started_);
   if (aRequest.pre()) {
     reply.set_granted(mayVote && aRequest.term() > hard_.term() &&
                       IsUpToDate(aRequest));
@@ -271,6 +296,7 @@
   const bool granted = mayVote && aRequest.term() == hard_.term() && free &&
                        role_ == Role::Follower && IsUpToDate(aRequest);
   if (granted) {
+    fresh_ = false;
     hard_.set_voted_for(aFrom);
     aOut.push_back(SaveHardState{ hard_ });
     ResetElection(aNow);
@@ -286,6 +312,14 @@
                        Time aNow,
                        RaftActions& aOut)
 {
+  const bool asked = role_ == Role::Candidate && pre_ && aReply.pre();
+  if (asked && aReply.fresh() && IsVoter(aFrom)) {
+    freshOnes_.insert(aFrom);
+    if (IsEveryoneFresh()) {
+      StartElection(false, aNow, aOut);
+      return;
+    }
+  }
   if (!aReply.granted()) {
     if (aReply.term() > hard_.term()) {
       StepDown(aReply.term(), aNow, aOut);
@@ -513,6 +547,7 @@
   if (aTerm > hard_.term() || role_ != Role::Follower) {
     StepDown(aTerm, aNow, aOut);
   }
+  fresh_ = false;
   leader_ = aFrom;
   loyalUntil_ = aNow + timing_.electionMin_;
   ResetElection(aNow);
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -95,6 +95,7 @@
   Duration electionMax_ = 450ms;
   Duration lease_ = 180ms;   // below electionMin_, for clock rates
   Duration restart_ = 200ms; // after a start: beyond a lease granted before it
+  Duration fresh_ = 60ms;    // spread of first tries after a start
 };
 
 // ---- 2. The algorithm
@@ -196,6 +197,7 @@
   void ResetElection(Time aNow);
   void UpdateVoters();
   bool IsQuorum(std::size_t aCount) const;
+  bool IsEveryoneFresh() const;
   bool IsUpToDate(const wire::VoteRequest& aRequest) const;
   Time QuorumHeard(Time aNow) const;
   std::uint64_t TermAt(std::uint64_t aIndex) const;
@@ -214,6 +216,9 @@
   std::uint64_t votersIndex_ = 0;
   Role role_ = Role::Follower;
   bool pre_ = false; // a candidate's current round is a pre-vote
+  bool fresh_ = true; // heard no leader, and voted for none, since the start
+  bool allFresh_ = false;      // of the current round: see StartElection
+  std::set<VoterId> freshOnes_; // voters that said so
   std::set<VoterId> votes_;
   VoterId leader_;
   Time loyalUntil_; // until then nobody but the leader is followed
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -507,6 +507,9 @@
               GatewayActions& aOut);
 
   bool IsCatalogProven() const;
+  bool SeesIsolation(Time aNow) const;
+  void TickIsolation(Time aNow, GatewayActions& aOut);
+  void CloseResting(Time aNow, GatewayActions& aOut);
   Server* FindServer(const ServerId& aServer);
   Group* FindGroup(const DatabaseId& aGroup);
 
@@ -526,6 +529,8 @@
   Time leaseAskedAt_;
   Time tickedAt_;
   std::optional<Time> drainingSince_;
+  std::optional<Time> isolatedSince_; // nothing can be served from here
+  Time servingSeenAt_;                // it could, at this time
   GatewayCounters counters_;
   std::vector<GatewaySample> samples_;
 };
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kIdleTick = 50ms;     //
 constexpr Duration kHedgeLeast = 120ms;  // twice the longest usual statement
 constexpr int kHedgeTimes = 5;           // the smoothed service time
+constexpr Duration kIsolatedAfter = 300ms; // without any primary to use
 constexpr Duration kOpenLimit = 300ms;   // a connection that is being opened
 constexpr Duration kSilentAfter = 300ms; // a primary that does not answer
 constexpr Duration kReportEvery = 200ms; // a suspicion
@@ -39,7 +40,54 @@
 bool
 Gateway::IsReady() const
 {
-  return !drainingSince_ && IsCatalogProven();
+  return !drainingSince_ && !isolatedSince_ && IsCatalogProven();
+}
+
+// True if no primary can be used, and half of them or more can't even be
+// reached: other VMs are better placed. A VM that only lacks the leader sees
+// its servers, and stays.
+bool
+Gateway::SeesIsolation(Time aNow) const
+{
+  std::size_t groups = 0;
+  std::size_t unreachable = 0;
+  for (const auto& [name, group] : groups_) {
+    const auto primary = servers_.find(group.primary_);
+    if (primary == servers_.end()) {
+      continue;
+    }
+    groups++;
+    const bool reached = primary->second.failures_ == 0;
+    if (reached && HoldsLease(group, group.term_, aNow)) {
+      return false;
+    }
+    unreachable += reached ? 0U : 1U;
+  }
+  return groups > 0 && unreachable * 2 >= groups;
+}
+
+// An isolated VM leaves the balancer's rotation. Once it is out, sessions at
+// rest are closed, so that their callers come back through other VMs.
+void
+Gateway::TickIsolation(Time aNow, GatewayActions& aOut)
+{
+  if (!SeesIsolation(aNow)) {
+    servingSeenAt_ = aNow;
+    isolatedSince_.reset();
+    return;
+  }
+  if (!isolatedSince_ && aNow - servingSeenAt_ >= kIsolatedAfter) {
+    isolatedSince_ = aNow;
+    aOut.push_back(
+      WriteNote{ Event::Isolated,
+                 fmt::format("sessions={} waiting={} leases={}",
+                             sessions_.size(),
+                             CountWaiting(),
+                             CountLeases(aNow)) });
+  }
+  if (isolatedSince_ && aNow - *isolatedSince_ >= config_.drainQuiet_) {
+    CloseResting(aNow, aOut);
+  }
 }
 
 void
@@ -52,6 +100,7 @@
   TickLinks(aNow, aOut);
   TickLeases(aNow, aOut);
   TickSuspicions(aNow, aOut);
+  TickIsolation(aNow, aOut);
   TickDrain(aNow, aOut);
   for (const auto& [name, group] : groups_) {
     if (!group.queue_.empty()) {
@@ -328,14 +377,24 @@
   if (!drainingSince_ || aNow - *drainingSince_ < config_.drainQuiet_) {
     return;
   }
-  const bool hard = aNow - *drainingSince_ >= config_.drainIdle_;
+  if (aNow - *drainingSince_ >= config_.drainIdle_) {
+    for (const auto& [id, session] : sessions_) {
+      if (session.work_ == 0 && session.link_ != 0) {
+        LoseTransaction(id, "this VM stops", aNow, aOut);
+      }
+    }
+  }
+  CloseResting(aNow, aOut);
+}
+
+void
+Gateway::CloseResting(Time aNow, GatewayActions& aOut)
+{
   std::vector<SessionId> ended;
   for (const auto& [id, session] : sessions_) {
     const bool rests = session.work_ == 0 && session.inbox_.empty();
     if (rests && session.tx_ == TxState::None) {
       ended.push_back(id);
-    } else if (rests && hard && session.link_ != 0) {
-      LoseTransaction(id, "this VM stops", aNow, aOut);
     }
   }
   for (const SessionId id : ended) {
