--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -259,13 +259,14 @@
       return;
     }
   }
-  for (const auto& id : set.learners()) {
-    if (IsVoterGone(id, aNow, kForgetLearnerAfter)) {
-      const VoterId lost = id;
-      learners.erase(std::find(learners.begin(), learners.end(), lost));
-      propose(Event::VoterRemoved, lost);
-      return;
-    }
+  const auto lost =
+    std::find_if(learners.begin(), learners.end(), [&](const auto& aLearner) {
+      return IsVoterGone(aLearner, aNow, kForgetLearnerAfter);
+    });
+  if (lost != learners.end()) {
+    const VoterId id = std::move(*lost);
+    learners.erase(lost);
+    propose(Event::VoterRemoved, id);
   }
 }
 
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -150,8 +150,8 @@
     // wait: they ask each other at once.
     loyalUntil_ = aNow + timing_.restart_;
     const auto spread = static_cast<std::uint64_t>(timing_.fresh_.count());
-    electionAt_ = aNow + Duration(static_cast<Duration::rep>(
-                           random_() % (spread + 1)));
+    electionAt_ =
+      aNow + Duration(static_cast<Duration::rep>(random_() % (spread + 1)));
   }
   if (role_ == Role::Leader) {
     const bool alone = aNow - leaderSince_ >= timing_.electionMin_ &&
@@ -275,8 +275,7 @@
   const bool sticky =
     role_ == Role::Leader
       ? HasLease(aNow)
-      : !started_ ||
-          (aNow < loyalUntil_ && !(fresh_ && aRequest.all_fresh()));
+      : !started_ || (aNow < loyalUntil_ && !(fresh_ && aRequest.all_fresh()));
   const bool mayVote = IsVoter(self_) && IsVoter(aFrom) && !sticky;
   auto message = MakeMessage();
   auto& reply = *message.mutable_vote_reply();
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -215,9 +215,9 @@
   wire::VoterSet voters_; // the latest in the log, committed or not
   std::uint64_t votersIndex_ = 0;
   Role role_ = Role::Follower;
-  bool pre_ = false; // a candidate's current round is a pre-vote
+  bool pre_ = false;  // a candidate's current round is a pre-vote
   bool fresh_ = true; // heard no leader, and voted for none, since the start
-  bool allFresh_ = false;      // of the current round: see StartElection
+  bool allFresh_ = false;       // of the current round: see StartElection
   std::set<VoterId> freshOnes_; // voters that said so
   std::set<VoterId> votes_;
   VoterId leader_;
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -10,15 +10,15 @@
 namespace jaydoor {
 namespace {
 
-constexpr Duration kBusyTick = 10ms;     // statements are under way
-constexpr Duration kIdleTick = 50ms;     //
-constexpr Duration kHedgeLeast = 120ms;  // twice the longest usual statement
-constexpr int kHedgeTimes = 5;           // the smoothed service time
+constexpr Duration kBusyTick = 10ms;       // statements are under way
+constexpr Duration kIdleTick = 50ms;       //
+constexpr Duration kHedgeLeast = 120ms;    // twice the longest usual statement
+constexpr int kHedgeTimes = 5;             // the smoothed service time
 constexpr Duration kIsolatedAfter = 300ms; // without any primary to use
-constexpr Duration kOpenLimit = 300ms;   // a connection that is being opened
-constexpr Duration kSilentAfter = 300ms; // a primary that does not answer
-constexpr Duration kReportEvery = 200ms; // a suspicion
-constexpr Duration kLinkLimit = 4s;      // a statement without any answer
+constexpr Duration kOpenLimit = 300ms;     // a connection that is being opened
+constexpr Duration kSilentAfter = 300ms;   // a primary that does not answer
+constexpr Duration kReportEvery = 200ms;   // a suspicion
+constexpr Duration kLinkLimit = 4s;        // a statement without any answer
 // An idle connection is worth less than the room it takes: servers count those
 // of a VM that lost its power until they notice.
 constexpr Duration kIdleLinkLimit = 2s;
@@ -78,12 +78,11 @@
   }
   if (!isolatedSince_ && aNow - servingSeenAt_ >= kIsolatedAfter) {
     isolatedSince_ = aNow;
-    aOut.push_back(
-      WriteNote{ Event::Isolated,
-                 fmt::format("sessions={} waiting={} leases={}",
-                             sessions_.size(),
-                             CountWaiting(),
-                             CountLeases(aNow)) });
+    aOut.push_back(WriteNote{ Event::Isolated,
+                              fmt::format("sessions={} waiting={} leases={}",
+                                          sessions_.size(),
+                                          CountWaiting(),
+                                          CountLeases(aNow)) });
   }
   if (isolatedSince_ && aNow - *isolatedSince_ >= config_.drainQuiet_) {
     CloseResting(aNow, aOut);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -5,6 +5,7 @@
 #include "control/ControlState.h"
 #include "control/Failover.h"
 #include "control/LeaseTable.h"
+#include "control/Raft.h"
 
 #include <random>
 
@@ -362,6 +363,123 @@
   }
 }
 
+namespace {
+
+// Three voters that hand each other their messages at once.
+struct Voters
+{
+  std::map<VoterId, std::unique_ptr<Raft>> rafts_;
+  std::map<VoterId, RaftDisk> disks_;
+  Time now_ = kStart;
+
+  Voters()
+  {
+    wire::VoterSet set;
+    for (const char* id : { "a/1", "b/1", "c/1" }) {
+      set.add_voters(id);
+    }
+    for (const auto& id : set.voters()) {
+      *disks_[id].snapshot_.mutable_voters() = set;
+      Start(id);
+    }
+  }
+
+  void Start(const VoterId& aId)
+  {
+    rafts_[aId] = std::make_unique<Raft>(
+      aId, RaftTiming{}, std::hash<VoterId>{}(aId), disks_[aId]);
+  }
+
+  void Deliver(RaftActions aActions)
+  {
+    for (auto& action : aActions) {
+      auto* send = std::get_if<SendVoter>(&action);
+      if (send != nullptr && rafts_.contains(send->to_)) {
+        RaftActions more;
+        rafts_[send->to_]->Receive(send->message_, now_, more);
+        Deliver(std::move(more));
+      }
+    }
+  }
+
+  // Runs until there is a leader or the time is over; the time it took.
+  Duration AwaitLeader(Duration aMost)
+  {
+    const Time begin = now_;
+    while (now_ - begin < aMost && Leader() == nullptr) {
+      Tick();
+    }
+    return now_ - begin;
+  }
+
+  void Tick()
+  {
+    now_ += 5ms;
+    for (auto& [id, raft] : rafts_) {
+      RaftActions actions;
+      raft->Tick(now_, actions);
+      Deliver(std::move(actions));
+    }
+  }
+
+  Raft* Leader()
+  {
+    for (auto& [id, raft] : rafts_) {
+      if (raft->IsLeader() && raft->HasLease(now_)) {
+        return raft.get();
+      }
+    }
+    return nullptr;
+  }
+};
+
+} // namespace
+
+TEST_CASE("Elections after a restart")
+{
+  Voters voters;
+  voters.AwaitLeader(2s);
+  REQUIRE(voters.Leader() != nullptr);
+
+  SECTION("voters that were all restarted elect before a lease's length")
+  {
+    for (const char* id : { "a/1", "b/1", "c/1" }) {
+      voters.Start(id);
+    }
+    CHECK(voters.AwaitLeader(2s) < RaftTiming{}.restart_);
+  }
+
+  SECTION("one that was restarted does not outvote a leader that is there")
+  {
+    const VoterId leader = voters.Leader()->Self();
+    const std::uint64_t term = voters.Leader()->Term();
+    for (const char* id : { "a/1", "b/1", "c/1" }) {
+      if (id != leader) {
+        voters.Start(id);
+      }
+    }
+    for (int i = 0; i < 100; i++) {
+      voters.Tick();
+    }
+    REQUIRE(voters.Leader() != nullptr);
+    CHECK(voters.Leader()->Self() == leader);
+    CHECK(voters.Leader()->Term() == term);
+  }
+
+  SECTION("two that were restarted wait for a leader that they can't ask")
+  {
+    const VoterId leader = voters.Leader()->Self();
+    voters.rafts_.erase(leader);
+    for (const char* id : { "a/1", "b/1", "c/1" }) {
+      if (id != leader) {
+        voters.Start(id);
+      }
+    }
+    CHECK(voters.AwaitLeader(2s) >= RaftTiming{}.restart_);
+    CHECK(voters.Leader() != nullptr);
+  }
+}
+
 TEST_CASE("Announcements that are late or from another run")
 {
   Log log;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/SessionWorld.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 namespace jaydoor::tests {
@@ -22,8 +24,266 @@
   return text;
 }
 
+// One gateway before a group of three servers, driven by hand.
+struct Desk
+{
+  Gateway gateway_{ GatewayConfig{ .zone_ = "zone-1" } };
+  Time now_{ 1000s };
+  GatewayActions actions_;
+  std::map<std::string, ServerLinkId> opened_; // newest link of each server
+
+  explicit Desk(Duration aLease = 60s)
+  {
+    Log log;
+    for (int i = 1; i <= 3; i++) {
+      log.Announce("server-" + std::to_string(i), "zone-" + std::to_string(i));
+    }
+    log.SetPrimary("server-1", 1);
+    auto catalog = std::make_shared<Catalog>();
+    catalog->version_ = 1;
+    catalog->connectionLimits_["db"] = 20;
+    for (const char* name : { "all", "aged" }) {
+      CatalogDatabase database;
+      database.name_ = name;
+      database.group_ = "db";
+      database.consistency_ = std::string(name) == "all"
+                                ? Consistency::Primary
+                                : Consistency::BoundedStaleness;
+      database.maxStaleness_ = 1500ms;
+      database.statementLimit_ = 1s;
+      database.target_ = 400ms;
+      catalog->databases_[name] = database;
+    }
+    Step(TakeFleet{ BuildFleetView(log.state_, {}, true), catalog });
+    Grant(aLease);
+  }
+
+  // A control state that changes are applied to in order.
+  struct Log
+  {
+    ControlState state_;
+    std::uint64_t index_ = 0;
+
+    void Announce(const ServerId& aServer, const ZoneId& aZone)
+    {
+      wire::Change change;
+      auto& info = *change.mutable_upstream()->mutable_upstream();
+      info.set_server(aServer);
+      info.set_database("db");
+      info.set_zone(aZone);
+      info.set_slots(1);
+      change.set_index(++index_);
+      state_.Apply(change);
+    }
+
+    void SetPrimary(const ServerId& aServer, std::uint64_t aTerm)
+    {
+      wire::Change change;
+      change.mutable_primary()->set_database("db");
+      change.mutable_primary()->set_server(aServer);
+      change.mutable_primary()->set_term(aTerm);
+      change.set_index(++index_);
+      state_.Apply(change);
+    }
+  };
+
+  void Grant(Duration aLease)
+  {
+    wire::LeaseGrant grant;
+    grant.set_sent_us(now_.time_since_epoch().count());
+    grant.set_incarnation(1);
+    grant.set_holders(1);
+    auto& lease = *grant.add_leases();
+    lease.set_database("db");
+    lease.set_server("server-1");
+    lease.set_term(1);
+    lease.set_duration_us(aLease.count());
+    Step(TakeGrant{ grant });
+  }
+
+  void Step(GatewayEvent aEvent)
+  {
+    const std::size_t before = actions_.size();
+    gateway_.Step(std::move(aEvent), now_, actions_);
+    for (std::size_t i = before; i < actions_.size(); i++) {
+      if (const auto* open = std::get_if<OpenServerLink>(&actions_[i])) {
+        opened_[open->server_] = open->link_;
+      }
+    }
+  }
+
+  // Lets time pass, with ticks.
+  void Wait(Duration aTime)
+  {
+    for (const Time end = now_ + aTime; now_ < end;) {
+      now_ += 10ms;
+      Step(TakeGatewayTick{});
+    }
+  }
+
+  void Send(SessionId aSession, StatementKind aKind, const std::string& aId)
+  {
+    SessionStatement statement;
+    statement.kind_ = aKind;
+    statement.id_ = aId;
+    statement.text_ = "text";
+    Step(TakeStatement{ aSession, statement });
+  }
+
+  // Opens the link that the gateway asked for.
+  void Open(const std::string& aServer)
+  {
+    REQUIRE(opened_.contains(aServer));
+    Step(ServerLinkOpened{ opened_[aServer] });
+  }
+
+  void Answer(const std::string& aServer, LogPoint aPoint = { 1, 1 })
+  {
+    ServerAnswer answer;
+    answer.signature_ = "signed";
+    answer.point_ = aPoint;
+    Step(ServerLinkAnswered{ opened_[aServer], answer });
+  }
+
+  template<typename Action>
+  std::size_t Count() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(actions_.begin(), actions_.end(), [](const auto& aAction) {
+        return std::holds_alternative<Action>(aAction);
+      }));
+  }
+
+  std::optional<SessionReply> LastReply() const
+  {
+    for (auto at = actions_.rbegin(); at != actions_.rend(); ++at) {
+      if (const auto* reply = std::get_if<ReplySession>(&*at)) {
+        return reply->reply_;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
 } // namespace
 
+TEST_CASE("A gateway's decisions one by one")
+{
+  SECTION("a write is acknowledged under a lease, and in doubt without")
+  {
+    Desk desk(200ms);
+    desk.Step(TakeSession{ 1, "all" });
+    desk.Send(1, StatementKind::Write, "q1");
+    desk.Open("server-1");
+    desk.now_ += 300ms;
+    desk.Answer("server-1");
+    REQUIRE(desk.LastReply().has_value());
+    CHECK(desk.LastReply()->error_ == SessionError::InDoubt);
+    desk.Grant(60s);
+    desk.Send(1, StatementKind::Write, "q2");
+    desk.Answer("server-1");
+    CHECK_FALSE(desk.LastReply()->error_.has_value());
+    CHECK(desk.LastReply()->signature_ == "signed");
+  }
+
+  SECTION("a write whose connection ends is in doubt, a read goes on elsewhere")
+  {
+    Desk desk;
+    desk.Step(TakeSession{ 1, "all" });
+    desk.Send(1, StatementKind::Write, "q1");
+    desk.Open("server-1");
+    desk.Step(ServerLinkLost{ desk.opened_["server-1"], {} });
+    REQUIRE(desk.LastReply().has_value());
+    CHECK(desk.LastReply()->error_ == SessionError::InDoubt);
+    desk.Send(1, StatementKind::Read, "q2");
+    desk.Open("server-1");
+    desk.Step(ServerLinkLost{ desk.opened_["server-1"], {} });
+    CHECK(desk.Count<ReplySession>() == 1);
+    desk.Open("server-1");
+    desk.Answer("server-1");
+    CHECK_FALSE(desk.LastReply()->error_.has_value());
+  }
+
+  SECTION("a second try is not made for a caller that has left")
+  {
+    Desk desk;
+    desk.Step(TakeSession{ 1, "aged" });
+    desk.Send(1, StatementKind::Read, "q1");
+    desk.Open("server-1");
+    desk.Step(TakeSessionEnd{ 1 });
+    desk.Wait(3s);
+    CHECK(desk.gateway_.Counters().hedged_ == 0);
+    CHECK(desk.Count<ReplySession>() == 0);
+  }
+
+  SECTION("a primary is suspected when all its connections are stuck")
+  {
+    // Sent before its last answer: nothing that is sent later shows silence.
+    Desk desk;
+    for (const SessionId id : { 1, 2, 3 }) {
+      desk.Step(TakeSession{ id, "all" });
+    }
+    desk.Send(1, StatementKind::Read, "q1");
+    desk.Open("server-1");
+    const ServerLinkId first = desk.opened_["server-1"];
+    desk.Send(2, StatementKind::Read, "q2");
+    desk.Open("server-1");
+    desk.Step(ServerLinkAnswered{ first, ServerAnswer{} });
+    desk.Wait(2s);
+    CHECK(desk.Count<ReportSuspicion>() > 0);
+  }
+
+  SECTION("sessions wait until the databases are known")
+  {
+    Gateway gateway(GatewayConfig{});
+    GatewayActions actions;
+    gateway.Step(TakeSession{ 1, "all" }, Time(1000s), actions);
+    CHECK(actions.empty());
+    gateway.Step(TakeGatewayTick{}, Time(1001s), actions);
+    const auto refused =
+      std::find_if(actions.begin(), actions.end(), [](const auto& aAction) {
+        return std::holds_alternative<RefuseSession>(aAction);
+      });
+    REQUIRE(refused != actions.end());
+    CHECK(std::get<RefuseSession>(*refused).error_ == SessionError::Overloaded);
+  }
+
+  SECTION("an isolated VM is not ready, and closes sessions at rest")
+  {
+    Desk desk;
+    desk.Step(TakeSession{ 1, "all" });
+    desk.Send(1, StatementKind::Read, "q1");
+    desk.Open("server-1");
+    desk.Answer("server-1");
+    desk.Wait(100ms);
+    CHECK(desk.gateway_.IsReady());
+    desk.Send(1, StatementKind::Read, "q2");
+    desk.Wait(1500ms);
+    CHECK_FALSE(desk.gateway_.IsReady());
+    CHECK(desk.Count<CloseSession>() == 0);
+    desk.Wait(2500ms);
+    CHECK(desk.Count<CloseSession>() == 1);
+    // A new connection answers: it serves again.
+    const std::size_t opened = desk.Count<OpenServerLink>();
+    while (desk.Count<OpenServerLink>() == opened && desk.now_ < Time(1010s)) {
+      desk.Wait(10ms);
+    }
+    desk.Open("server-1");
+    desk.Wait(20ms);
+    CHECK(desk.gateway_.IsReady());
+  }
+
+  SECTION("a statement without a server is refused while a retry still pays")
+  {
+    Desk desk;
+    desk.Step(TakeSession{ 1, "all" });
+    desk.Send(1, StatementKind::Write, "q1");
+    desk.Wait(420ms);
+    REQUIRE(desk.LastReply().has_value());
+    CHECK(desk.LastReply()->error_ == SessionError::Overloaded);
+  }
+}
+
 TEST_CASE("Sessions through gateways")
 {
   SECTION("without faults nothing is refused")
