--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -295,7 +295,11 @@
     LoseLink(id, aNow, aOut);
   }
   for (const ServerLinkId id : old) {
-    Server& server = servers_.at(links_.at(id).server_);
+    const auto link = links_.find(id);
+    if (link == links_.end()) {
+      continue; // dropped with a silent one
+    }
+    Server& server = servers_.at(link->second.server_);
     std::erase(server.idle_, id);
     server.links_.erase(id);
     links_.erase(id);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -233,6 +233,27 @@
     CHECK(desk.Count<ReportSuspicion>() > 0);
   }
 
+  SECTION("an idle connection may go for two reasons at once")
+  {
+    // It is too old in the very tick in which a new one stays unanswered.
+    for (Duration pause = 1200ms; pause < 1800ms; pause += 10ms) {
+      Desk desk;
+      desk.Step(TakeSession{ 1, "all" });
+      desk.Step(TakeSession{ 2, "all" });
+      desk.Send(1, StatementKind::Read, "q1");
+      desk.Open("server-1");
+      const ServerLinkId first = desk.opened_["server-1"];
+      desk.Send(2, StatementKind::Read, "q2");
+      desk.Open("server-1");
+      desk.Step(ServerLinkAnswered{ first, ServerAnswer{} });
+      desk.now_ += 1ms;
+      desk.Answer("server-1");
+      desk.Wait(pause);
+      desk.Send(1, StatementKind::Read, "q3");
+      CHECK_NOTHROW(desk.Wait(3s));
+    }
+  }
+
   SECTION("sessions wait until the databases are known")
   {
     Gateway gateway(GatewayConfig{});
