--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -292,7 +292,8 @@
     bool writes_ = false;  // a single write, or a commit
     bool reads_ = false;   // may be repeated
     Time arrivedAt_;
-    Time holdUntil_; // refused if no server has got it by then
+    Time holdUntil_; // refused if no server has room for it by then
+    Time holdMost_;  // the same while there is no primary to run it
     Time deadline_;  // the route's limit for one statement
     Time offeredAt_; // first sent to a server
     bool offered_ = false;
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -539,8 +539,10 @@
                            aText,
                            work.attempts_,
                            CountMs(work.deadline_ - aNow)) });
-  work.holdUntil_ = std::max(
-    work.holdUntil_, std::min(work.deadline_, aNow + work.route_.target_ / 2));
+  // One that has run may be late; one that has not is not held for longer.
+  const Time most = IsNotRun(aError) ? work.holdMost_ : work.deadline_;
+  work.holdUntil_ =
+    std::max(work.holdUntil_, std::min(most, aNow + work.route_.target_ / 2));
   Enqueue(aId);
 }
 
--- a/gateway/GatewaySessions.cpp
+++ b/gateway/GatewaySessions.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxInbox = 64;    // statements sent ahead
 constexpr std::size_t kMaxNames = 4096;  // values or prepared statements
 constexpr double kHoldShare = 0.45; // of the limit; then a retry elsewhere pays
+constexpr Duration kAnswerTime = 100ms; // from a slot to the answer, under load
 
 bool
 IsSingleWrite(const SessionStatement& aStatement,
@@ -417,11 +418,12 @@
     !readsOnly || work.route_.consistency_ == Consistency::Primary;
   work.arrivedAt_ = aNow;
   work.deadline_ = aNow + work.route_.statementLimit_;
+  const Duration most(static_cast<Duration::rep>(
+    static_cast<double>(work.route_.statementLimit_.count()) * kHoldShare));
+  const Duration target = work.route_.target_;
+  work.holdMost_ = aNow + most;
   work.holdUntil_ =
-    aNow + std::min(work.route_.target_,
-                    Duration(static_cast<Duration::rep>(
-                      static_cast<double>(work.route_.statementLimit_.count()) *
-                      kHoldShare)));
+    aNow + std::min(most, std::max(target / 2, target - kAnswerTime));
   work.statement_ = std::move(aStatement);
   session.work_ = id;
   if (session.tx_ == TxState::Open) {
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -186,7 +186,11 @@
       continue;
     }
     if (work.queued_ && work.links_.empty()) {
-      if (aNow >= work.holdUntil_) {
+      const Group& group = groups_.at(work.route_.group_);
+      const bool usable =
+        !group.changing_ && HoldsLease(group, group.term_, aNow);
+      if (aNow >= (usable ? work.holdUntil_
+                          : std::max(work.holdUntil_, work.holdMost_))) {
         late.push_back({ id, SessionError::Overloaded, "no room in time" });
       }
       continue;
