--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -17,7 +17,7 @@
 
 // Statements that all VMs together may have at a server, for each slot: a few
 // wait there, so that no slot is idle between two of them.
-constexpr double kPerSlot = 3;
+constexpr double kPerSlot = 2;
 // Share of a server's connections that the VMs divide among themselves; the
 // rest is for changes of primary and for VMs that have just joined.
 constexpr double kLinkShare = 0.85;
--- a/gateway/GatewaySessions.cpp
+++ b/gateway/GatewaySessions.cpp
@@ -15,8 +15,27 @@
 constexpr Duration kOpeningWait = 400ms; // then another VM may know more
 constexpr std::size_t kMaxInbox = 64;    // statements sent ahead
 constexpr std::size_t kMaxNames = 4096;  // values or prepared statements
-constexpr double kHoldShare = 0.45; // of the limit; then a retry elsewhere pays
-constexpr Duration kAnswerTime = 100ms; // from a slot to the answer, under load
+// Shares of the statement limit. A caller makes three tries, each held by
+// another VM; the last one has to be refused before the caller gives up.
+constexpr double kHoldShort = 0.23; // targets far below the limit
+constexpr double kHoldLong = 0.45;  // a caller that can wait
+constexpr double kHoldMost = 0.29;  // there is no primary: nobody serves it
+
+Duration
+ShareOf(Duration aLimit, double aShare)
+{
+  return Duration(
+    static_cast<Duration::rep>(static_cast<double>(aLimit.count()) * aShare));
+}
+
+// How long a statement waits for room before its caller is told to try again.
+Duration
+HoldOf(const CatalogDatabase& aRoute)
+{
+  const bool patient = aRoute.target_ > aRoute.statementLimit_ / 2;
+  const double share = patient ? kHoldLong : kHoldShort;
+  return std::min(aRoute.target_, ShareOf(aRoute.statementLimit_, share));
+}
 
 bool
 IsSingleWrite(const SessionStatement& aStatement,
@@ -418,12 +437,8 @@
     !readsOnly || work.route_.consistency_ == Consistency::Primary;
   work.arrivedAt_ = aNow;
   work.deadline_ = aNow + work.route_.statementLimit_;
-  const Duration most(static_cast<Duration::rep>(
-    static_cast<double>(work.route_.statementLimit_.count()) * kHoldShare));
-  const Duration target = work.route_.target_;
-  work.holdMost_ = aNow + most;
-  work.holdUntil_ =
-    aNow + std::min(most, std::max(target / 2, target - kAnswerTime));
+  work.holdMost_ = aNow + ShareOf(work.route_.statementLimit_, kHoldMost);
+  work.holdUntil_ = aNow + HoldOf(work.route_);
   work.statement_ = std::move(aStatement);
   session.work_ = id;
   if (session.tx_ == TxState::Open) {
