--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -331,6 +331,7 @@
     Time heardAt_;               //
     std::uint64_t sentTerm_ = 0; // lease held when it was sent
     Time needAt_; // primary's time of the log point that was asked for
+    bool holdsSlot_ = false; // its statement counts as running
   };
 
   struct Server
@@ -474,6 +475,8 @@
                      const std::string& aText,
                      Time aNow,
                      GatewayActions& aOut);
+  void FreeSlot(Link& aLink);
+  bool IsWanted(const Link& aLink, ServerLinkId aId) const;
   void DropWork(WorkId aId);
   void NotePoint(const Link& aLink, LogPoint aPoint, Time aNow);
   void NoteHeard(Server& aServer, Time aNow, GatewayActions& aOut);
--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -360,7 +360,10 @@
   Session& session = sessions_.at(work.session_);
   Link& link = links_.at(aLink);
   Server& server = servers_.at(link.server_);
-  server.running_++;
+  if (!link.holdsSlot_) {
+    link.holdsSlot_ = true;
+    server.running_++;
+  }
   if (!work.offered_) {
     work.offered_ = true;
     work.offeredAt_ = aNow;
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -67,6 +67,16 @@
 
 // ---- 1. Connections
 
+// Its statement takes no slot any more.
+void
+Gateway::FreeSlot(Link& aLink)
+{
+  if (aLink.holdsSlot_) {
+    aLink.holdsSlot_ = false;
+    servers_.at(aLink.server_).running_--;
+  }
+}
+
 void
 Gateway::Handle(ServerLinkOpened& aEvent, Time aNow, GatewayActions& aOut)
 {
@@ -159,7 +169,7 @@
   if (found == links_.end()) {
     return;
   }
-  const Link link = std::move(found->second);
+  Link link = std::move(found->second);
   links_.erase(found);
   Server& server = servers_.at(link.server_);
   server.links_.erase(aLink);
@@ -171,7 +181,7 @@
   const bool owner =
     session != sessions_.end() && session->second.link_ == aLink;
   if (link.work_ != 0) {
-    server.running_--;
+    FreeSlot(link);
   }
   if (work == work_.end() || !work->second.links_.contains(aLink)) {
     if (owner) {
@@ -283,7 +293,7 @@
   }
   const Duration took = aNow - link.sentAt_;
   server.service_ += (took - server.service_) / kSmoothing;
-  server.running_--;
+  FreeSlot(link);
   dirty_.insert(server.info_.database());
   const WorkId work = std::exchange(link.work_, 0);
   const auto running = work_.find(work);
@@ -338,7 +348,7 @@
     return;
   }
   Server& server = servers_.at(link.server_);
-  server.running_--;
+  FreeSlot(link);
   link.work_ = 0;
   link.hasNext_ = false;
   link.state_ = LinkState::Running;
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kSilentAfter = 300ms;   // a primary that does not answer
 constexpr Duration kReportEvery = 200ms;   // a suspicion
 constexpr Duration kLinkLimit = 4s;        // a statement without any answer
+constexpr Duration kUnwantedLimit = 700ms; // the same, that nobody waits for
+constexpr Duration kSlotLimit = 300ms;     // above a server's queue and work
 // An idle connection is worth less than the room it takes: servers count those
 // of a VM that lost its power until they notice.
 constexpr Duration kIdleLinkLimit = 2s;
@@ -268,16 +270,31 @@
 
 // ---- Connections
 
+// True if somebody still waits for what runs on the connection.
+bool
+Gateway::IsWanted(const Link& aLink, ServerLinkId aId) const
+{
+  const auto work = work_.find(aLink.work_);
+  return work != work_.end() && work->second.session_ != 0 &&
+         work->second.links_.contains(aId);
+}
+
 void
 Gateway::TickLinks(Time aNow, GatewayActions& aOut)
 {
   std::vector<ServerLinkId> lost;
   std::vector<ServerLinkId> old;
-  for (const auto& [id, link] : links_) {
+  for (auto& [id, link] : links_) {
     const bool slowOpen =
       link.state_ == LinkState::Opening && aNow - link.openedAt_ > kOpenLimit;
-    const bool silent = link.state_ != LinkState::Opening &&
-                        !link.sent_.empty() && aNow - link.sentAt_ > kLinkLimit;
+    const bool waits = link.state_ != LinkState::Opening && !link.sent_.empty();
+    const Duration waited = waits ? aNow - link.sentAt_ : Duration{};
+    // The server has long run it, or never will: its answer may be lost.
+    if (waited > kSlotLimit) {
+      FreeSlot(link);
+    }
+    const bool silent =
+      waited > (IsWanted(link, id) ? kLinkLimit : kUnwantedLimit);
     if (slowOpen || silent) {
       lost.push_back(id);
     } else if (link.state_ == LinkState::Idle &&
@@ -330,13 +347,16 @@
                aNow - link.sentAt_ > kSilentAfter;
       });
     const bool silent = waits && aNow - primary->heardAt_ > kSilentAfter;
-    if (silent && primary->failures_ == 0 && primary->opening_ == 0) {
+    const bool mayOpen = primary->opening_ == 0 &&
+                         aNow >= primary->blockedUntil_ &&
+                         primary->links_.size() <= LinkShare(*primary);
+    if (silent && primary->failures_ == 0 && mayOpen) {
       OpenLink(*primary, aNow, aOut); // a new one proves which of the two it is
     }
     const bool suspected =
       primary->failures_ > 0 && aNow - primary->heardAt_ > kReportEvery;
     // Somebody has to find out when it is back.
-    if (suspected && primary->opening_ == 0 && aNow >= primary->blockedUntil_) {
+    if (suspected && mayOpen) {
       OpenLink(*primary, aNow, aOut);
     }
     if (suspected == group.suspected_ &&
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -254,6 +254,48 @@
     }
   }
 
+  SECTION("a lost answer does not keep a slot")
+  {
+    Desk desk; // two statements at once at a server with one slot
+    for (const SessionId id : { 1, 2, 3 }) {
+      desk.Step(TakeSession{ id, "all" });
+    }
+    desk.Send(1, StatementKind::Write, "q1");
+    desk.Open("server-1");
+    desk.Send(2, StatementKind::Write, "q2");
+    desk.Open("server-1");
+    desk.Wait(200ms);
+    desk.Send(3, StatementKind::Write, "q3");
+    const std::size_t sent = desk.Count<SendServerLink>();
+    desk.Wait(50ms);
+    CHECK(desk.Count<SendServerLink>() == sent);
+    desk.Wait(100ms);
+    desk.Open("server-1");
+    CHECK(desk.Count<SendServerLink>() == sent + 1);
+    // Its connection goes soon after its caller has been told.
+    desk.Wait(1100ms);
+    CHECK(desk.Count<CloseServerLink>() >= 2);
+  }
+
+  SECTION("a server that is full is not asked at every tick")
+  {
+    Desk desk;
+    desk.Step(TakeSession{ 1, "all" });
+    desk.Send(1, StatementKind::Write, "q1");
+    desk.Open("server-1");
+    const std::size_t before = desk.Count<OpenServerLink>();
+    for (int i = 0; i < 80; i++) {
+      const std::size_t opened = desk.Count<OpenServerLink>();
+      desk.Wait(10ms);
+      if (desk.Count<OpenServerLink>() > opened) {
+        desk.Step(ServerLinkLost{ desk.opened_["server-1"],
+                                  SessionError::ConnectionLimit });
+      }
+    }
+    CHECK(desk.Count<OpenServerLink>() > before);
+    CHECK(desk.Count<OpenServerLink>() <= before + 10);
+  }
+
   SECTION("sessions wait until the databases are known")
   {
     Gateway gateway(GatewayConfig{});
