--- a/control/Failover.cpp
+++ b/control/Failover.cpp
@@ -325,11 +325,18 @@
   }
 }
 
-// The server with the longest log; of equal ones one that stays.
+// The server with the longest log. One that leaves gets no work any more, and
+// is chosen only where all leave.
 ServerId
 Failover::ChooseSuccessor(const wire::Database& aDatabase,
                           const Change& aChange) const
 {
+  const bool someStay = std::any_of(
+    aDatabase.servers().begin(),
+    aDatabase.servers().end(),
+    [&](const wire::Upstream& aServer) {
+      return !aServer.leaving() && aServer.server() != aDatabase.primary();
+    });
   const wire::Upstream* best = nullptr;
   LogPoint bestPoint;
   for (const auto& server : aDatabase.servers()) {
@@ -346,10 +353,8 @@
       return server.server();
     }
     const LogPoint point = status->second.received_;
-    const bool better =
-      best == nullptr || (best->leaving() && !server.leaving()) ||
-      (best->leaving() == server.leaving() && point > bestPoint);
-    if (better) {
+    const bool allowed = !someStay || !server.leaving();
+    if (allowed && (best == nullptr || point > bestPoint)) {
       best = &server;
       bestPoint = point;
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -304,6 +304,28 @@
     CHECK(leader.promotions_.size() == 1);
   }
 
+  SECTION("one that leaves is not chosen while another one stays")
+  {
+    // The one that stays answers late: it is waited for.
+    leader.log_.Announce("s2", "b", 1, 2, true);
+    leader.servers_["s1"] = std::nullopt;
+    leader.servers_["s3"] = std::nullopt;
+    for (int i = 0; i < 400; i++) {
+      leader.failover_.NoteSuspicion("vm-a", MakeSuspicion(true), leader.now_);
+      leader.failover_.NoteSuspicion("vm-b", MakeSuspicion(true), leader.now_);
+      leader.Step();
+    }
+    CHECK(leader.promotions_.empty());
+    leader.servers_["s3"] = ServerStatus{ false, 1, { 1, 40 } };
+    for (int i = 0; i < 100 && leader.promotions_.empty(); i++) {
+      leader.failover_.NoteSuspicion("vm-a", MakeSuspicion(true), leader.now_);
+      leader.failover_.NoteSuspicion("vm-b", MakeSuspicion(true), leader.now_);
+      leader.Step();
+    }
+    REQUIRE(leader.promotions_.size() == 1);
+    CHECK(leader.promotions_[0].server_ == "s3");
+  }
+
   SECTION("a minority's suspicion changes nothing")
   {
     leader.Grant("vm-a");
