--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -121,6 +121,13 @@
   if (aSnapshot.index() <= snapshot_.index()) {
     return;
   }
+  // Those that founded the fleet stand in no entry.
+  *aSnapshot.mutable_voters() = snapshot_.voters();
+  for (const auto& entry : log_) {
+    if (entry.index() <= aSnapshot.index() && entry.has_voters()) {
+      *aSnapshot.mutable_voters() = entry.voters();
+    }
+  }
   const std::uint64_t drop = aSnapshot.index() - snapshot_.index();
   log_.erase(log_.begin(), log_.begin() + static_cast<std::ptrdiff_t>(drop));
   snapshot_ = std::move(aSnapshot);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -502,6 +502,31 @@
   }
 }
 
+TEST_CASE("A shortened log keeps its voters")
+{
+  // The voters that founded the fleet stand in no entry of the log.
+  Voters voters;
+  voters.AwaitLeader(2s);
+  Raft* leader = voters.Leader();
+  REQUIRE(leader != nullptr);
+  for (int i = 0; i < 5; i++) {
+    wire::Change noop;
+    noop.set_noop(true);
+    RaftActions actions;
+    leader->Propose(noop, voters.now_, actions);
+    voters.Deliver(std::move(actions));
+  }
+  wire::ControlSnapshot snapshot;
+  snapshot.set_index(leader->CommitIndex());
+  snapshot.set_term(leader->Term());
+  RaftActions actions;
+  leader->Compact(snapshot, actions);
+  CHECK(leader->Voters().voters_size() == 3);
+  const auto* saved = std::get_if<SaveSnapshot>(&actions.front());
+  REQUIRE(saved != nullptr);
+  CHECK(saved->snapshot_.voters().voters_size() == 3);
+}
+
 TEST_CASE("Announcements that are late or from another run")
 {
   Log log;
