A voter's last write may be there in parts after a loss of power

Two voters at once would have left the fleet without a quorum for good. Records now carry the number of their sync, and a record tells when it was durable.

--- a/daemon/VoterDisk.cpp
+++ b/daemon/VoterDisk.cpp
@@ -23,6 +23,7 @@
   HardState = 1,
   Entries = 2, // a sequence of changes, as a Delta without snapshot
   Snapshot = 3,
+  Synced = 4, // all before it is durable; the payload is how many bytes
 };
 
 // Before each record's payload.
@@ -30,9 +31,12 @@
 {
   std::uint64_t check_ = 0; // of kind and payload
   std::uint32_t size_ = 0;  // of the payload
-  std::uint32_t kind_ = 0;
+  std::uint32_t kind_ = 0;  // RecordKind, with the sync's number above it
 };
 
+constexpr unsigned kKindBits = 8;
+constexpr std::uint32_t kKindMask = (1U << kKindBits) - 1;
+
 std::uint64_t
 CheckOf(std::string_view aPayload, std::uint32_t aKind)
 {
@@ -40,10 +44,13 @@
 }
 
 void
-AppendRecord(std::string& aBuffer, RecordKind aKind, std::string_view aPayload)
+AppendRecord(std::string& aBuffer,
+             RecordKind aKind,
+             std::uint32_t aSync,
+             std::string_view aPayload)
 {
   RecordHead head;
-  head.kind_ = static_cast<std::uint32_t>(aKind);
+  head.kind_ = static_cast<std::uint32_t>(aKind) | aSync << kKindBits;
   head.size_ = static_cast<std::uint32_t>(aPayload.size());
   head.check_ = CheckOf(aPayload, head.kind_);
   aBuffer.append(reinterpret_cast<const char*>(&head), sizeof(head));
@@ -51,13 +58,24 @@
 }
 
 void
-AppendEntries(std::string& aBuffer, const std::vector<wire::Change>& aEntries)
+AppendEntries(std::string& aBuffer,
+              std::uint32_t aSync,
+              const std::vector<wire::Change>& aEntries)
 {
   wire::Delta delta;
   for (const auto& entry : aEntries) {
     *delta.add_changes() = entry;
   }
-  AppendRecord(aBuffer, RecordKind::Entries, delta.SerializeAsString());
+  AppendRecord(aBuffer, RecordKind::Entries, aSync, delta.SerializeAsString());
+}
+
+void
+AppendSynced(std::string& aBuffer, std::uint32_t aSync, std::uint64_t aBytes)
+{
+  AppendRecord(aBuffer,
+               RecordKind::Synced,
+               aSync,
+               { reinterpret_cast<const char*>(&aBytes), sizeof(aBytes) });
 }
 
 // Entries replace what stands from the first one's index on.
@@ -81,7 +99,8 @@
 
 struct Record
 {
-  std::uint32_t kind_ = 0;
+  RecordKind kind_ = RecordKind::HardState;
+  std::uint32_t sync_ = 0; // number of the sync that made it durable
   std::string_view payload_;
 };
 
@@ -94,8 +113,9 @@
     return std::nullopt;
   }
   std::memcpy(&head, aBytes.data(), sizeof(head));
-  const bool whole = head.kind_ >= 1 && head.kind_ <= 3 &&
-                     aBytes.size() - sizeof(head) >= head.size_;
+  const std::uint32_t kind = head.kind_ & kKindMask;
+  const bool whole =
+    kind >= 1 && kind <= 4 && aBytes.size() - sizeof(head) >= head.size_;
   if (!whole) {
     return std::nullopt;
   }
@@ -103,16 +123,20 @@
   if (CheckOf(payload, head.kind_) != head.check_) {
     return std::nullopt;
   }
-  return Record{ head.kind_, payload };
+  return Record{ static_cast<RecordKind>(kind),
+                 head.kind_ >> kKindBits,
+                 payload };
 }
 
-// True if a whole record stands anywhere in the bytes. A torn end holds none:
-// what stands behind a damaged record was synced and acknowledged.
+// True if the bytes tell that what is damaged was durable. The last write
+// before a loss of power was not, and may be there in parts, in any order.
 bool
-HoldsRecord(std::string_view aBytes)
+HoldsLaterRecord(std::string_view aBytes, std::uint32_t aGoodSync)
 {
   for (; !aBytes.empty(); aBytes.remove_prefix(1)) {
-    if (FindRecord(aBytes)) {
+    const auto record = FindRecord(aBytes);
+    const bool told = record && record->kind_ == RecordKind::Synced;
+    if (record && record->sync_ > aGoodSync + (told ? 0U : 1U)) {
       return true;
     }
   }
@@ -124,7 +148,7 @@
 {
   const int size = static_cast<int>(aRecord.payload_.size());
   const char* data = aRecord.payload_.data();
-  switch (static_cast<RecordKind>(aRecord.kind_)) {
+  switch (aRecord.kind_) {
     case RecordKind::HardState:
       return aDisk.hard_.ParseFromArray(data, size);
     case RecordKind::Entries: {
@@ -136,6 +160,8 @@
     case RecordKind::Snapshot:
       aDisk.entries_.clear();
       return aDisk.snapshot_.ParseFromArray(data, size);
+    case RecordKind::Synced:
+      return true;
   }
   return false;
 }
@@ -171,7 +197,7 @@
 }
 
 Expected<bool>
-VoterDisk::WriteAll(int aFile, std::string_view aBytes)
+VoterDisk::Append(int aFile, std::string_view aBytes)
 {
   while (!aBytes.empty()) {
     const ssize_t wrote = write(aFile, aBytes.data(), aBytes.size());
@@ -180,6 +206,16 @@
     }
     aBytes.remove_prefix(static_cast<std::size_t>(wrote));
   }
+  return true;
+}
+
+Expected<bool>
+VoterDisk::WriteAll(int aFile, std::string_view aBytes)
+{
+  const auto wrote = Append(aFile, aBytes);
+  if (!wrote) {
+    return wrote;
+  }
   if (fdatasync(aFile) != 0) {
     return DiskError(folder_, "sync");
   }
@@ -217,7 +253,8 @@
   text << in.rdbuf();
   std::string bytes = text.str();
   Load(bytes, aDisk);
-  if (!HoldsRecord(std::string_view(bytes).substr(bytes.size() - torn_))) {
+  const auto torn = std::string_view(bytes).substr(bytes.size() - torn_);
+  if (!HoldsLaterRecord(torn, syncs_)) {
     return bytes;
   }
   std::error_code error;
@@ -225,6 +262,7 @@
   fs::remove(folder_ + "/disk-id", error);
   aDisk = RaftDisk{};
   torn_ = 0;
+  syncs_ = 0;
   const auto id = ReadId();
   if (!id) {
     return tl::unexpected(id.error());
@@ -270,6 +308,7 @@
     if (!LoadRecord(*record, aDisk)) {
       break;
     }
+    syncs_ = record->sync_;
     aBytes.remove_prefix(sizeof(RecordHead) + record->payload_.size());
   }
   torn_ = aBytes.size();
@@ -279,13 +318,14 @@
 VoterDisk::Save(const SaveHardState& aSave)
 {
   hard_ = aSave.state_;
-  AppendRecord(buffer_, RecordKind::HardState, hard_.SerializeAsString());
+  AppendRecord(
+    buffer_, RecordKind::HardState, syncs_ + 1, hard_.SerializeAsString());
 }
 
 void
 VoterDisk::Save(const SaveEntries& aSave)
 {
-  AppendEntries(buffer_, aSave.entries_);
+  AppendEntries(buffer_, syncs_ + 1, aSave.entries_);
 }
 
 // Writes the new file beside the old one and puts it in its place.
@@ -294,10 +334,12 @@
 {
   buffer_.clear(); // all of it is in the new file
   std::string bytes;
-  AppendRecord(bytes, RecordKind::HardState, hard_.SerializeAsString());
+  syncs_ = 1; // the file is synced as a whole before it counts
+  AppendRecord(bytes, RecordKind::HardState, syncs_, hard_.SerializeAsString());
   AppendRecord(
-    bytes, RecordKind::Snapshot, aSave.snapshot_.SerializeAsString());
-  AppendEntries(bytes, aSave.entries_);
+    bytes, RecordKind::Snapshot, syncs_, aSave.snapshot_.SerializeAsString());
+  AppendEntries(bytes, syncs_, aSave.entries_);
+  AppendSynced(bytes, syncs_, bytes.size());
   const std::string path = folder_ + "/log";
   const std::string fresh = folder_ + "/log.new";
   const int file =
@@ -322,8 +364,16 @@
   if (buffer_.empty()) {
     return true;
   }
-  const auto wrote = WriteAll(file_, buffer_);
+  auto wrote = WriteAll(file_, buffer_);
   buffer_.clear();
+  syncs_++;
+  if (wrote) {
+    // Becomes durable with the next sync; until then it may be missing.
+    std::string told;
+    AppendSynced(
+      told, syncs_, static_cast<std::uint64_t>(lseek(file_, 0, SEEK_CUR)));
+    wrote = Append(file_, told);
+  }
   return wrote;
 }
 
--- a/daemon/VoterDisk.h
+++ b/daemon/VoterDisk.h
@@ -3,7 +3,8 @@
 // What a voter keeps on disk: term and vote, a snapshot, the entries after it.
 //
 // One file of checked records, appended and synced; a snapshot rewrites it.
-// A torn record at the end was never acknowledged and is cut off. The folder
+// What the last write before a loss of power left was never acknowledged and
+// is cut off. The folder
 // also holds the id of the disk: a folder that was lost, or whose log is
 // damaged before its end, starts blank and gets another id.
 
@@ -39,6 +40,8 @@
   Expected<bool> ReadId();
   void Load(std::string_view aBytes, RaftDisk& aDisk);
   Expected<std::string> ReadLog(RaftDisk& aDisk);
+  Expected<bool> Append(int aFile, std::string_view aBytes);
+  // Appends and syncs.
   Expected<bool> WriteAll(int aFile, std::string_view aBytes);
 
   std::string folder_;
@@ -46,6 +49,7 @@
   std::string buffer_; // records that are not written yet
   wire::HardState hard_;
   std::size_t torn_ = 0;
+  std::uint32_t syncs_ = 0; // of the file, up to the last good record
   int file_ = -1;
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -393,6 +393,10 @@
   std::map<VoterId, std::unique_ptr<Raft>> rafts_;
   std::map<VoterId, RaftDisk> disks_;
   Time now_ = kStart;
+  std::mt19937_64 random_{ 1 };
+  Duration delay_{}; // most that a message takes; zero: handed over at once
+  Time linksFrom_;   // what is sent before is lost
+  std::multimap<Time, std::pair<VoterId, wire::ControlMessage>> onTheWay_;
 
   Voters()
   {
@@ -408,15 +412,22 @@
 
   void Start(const VoterId& aId)
   {
-    rafts_[aId] = std::make_unique<Raft>(
-      aId, RaftTiming{}, std::hash<VoterId>{}(aId), disks_[aId]);
+    rafts_[aId] =
+      std::make_unique<Raft>(aId, RaftTiming{}, random_(), disks_[aId]);
   }
 
   void Deliver(RaftActions aActions)
   {
     for (auto& action : aActions) {
       auto* send = std::get_if<SendVoter>(&action);
-      if (send != nullptr && rafts_.contains(send->to_)) {
+      if (send != nullptr && delay_ > 0us) {
+        const auto most = static_cast<std::uint64_t>(delay_.count());
+        const Duration takes(static_cast<Duration::rep>(random_() % most));
+        if (now_ >= linksFrom_) {
+          onTheWay_.emplace(now_ + takes,
+                            std::pair(send->to_, std::move(send->message_)));
+        }
+      } else if (send != nullptr && rafts_.contains(send->to_)) {
         RaftActions more;
         rafts_[send->to_]->Receive(send->message_, now_, more);
         Deliver(std::move(more));
@@ -437,6 +448,15 @@
   void Tick()
   {
     now_ += 5ms;
+    while (!onTheWay_.empty() && onTheWay_.begin()->first <= now_) {
+      auto [to, message] = std::move(onTheWay_.begin()->second);
+      onTheWay_.erase(onTheWay_.begin());
+      if (rafts_.contains(to)) {
+        RaftActions actions;
+        rafts_[to]->Receive(message, now_, actions);
+        Deliver(std::move(actions));
+      }
+    }
     for (auto& [id, raft] : rafts_) {
       RaftActions actions;
       raft->Tick(now_, actions);
@@ -471,6 +491,32 @@
     CHECK(voters.AwaitLeader(2s) < RaftTiming{}.restart_);
   }
 
+  SECTION("restarts at any moments end in one leader")
+  {
+    for (std::uint64_t seed = 1; seed <= 400; seed++) {
+      INFO("seed " << seed);
+      Voters world;
+      world.random_.seed(seed);
+      world.delay_ =
+        Duration(static_cast<Duration::rep>(1000 + world.random_() % 40'000));
+      for (const char* id : { "a/1", "b/1", "c/1" }) {
+        for (std::uint64_t ticks = world.random_() % 20; ticks > 0; ticks--) {
+          world.Tick();
+        }
+        world.Start(id);
+      }
+      world.linksFrom_ =
+        world.now_ +
+        Duration(static_cast<Duration::rep>(world.random_() % 300'000));
+      CHECK(world.AwaitLeader(4s) < 4s);
+      std::size_t leaders = 0;
+      for (const auto& [id, raft] : world.rafts_) {
+        leaders += raft->HasLease(world.now_) ? 1U : 0U;
+      }
+      CHECK(leaders == 1);
+    }
+  }
+
   SECTION("one that was restarted does not outvote a leader that is there")
   {
     const VoterId leader = voters.Leader()->Self();
--- /dev/null
+++ b/tests/disk_test.cpp
@@ -0,0 +1,122 @@
+// What a voter's disk gives back after losses of power.
+
+#include "daemon/VoterDisk.h"
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+namespace jaydoor::tests {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::uintmax_t kSyncedBytes = 24; // the record that tells of a sync
+
+// A folder of its own for each test.
+struct Folder
+{
+  std::string path_ =
+    (fs::temp_directory_path() /
+     ("jaydoor-disk-" + std::to_string(std::random_device{}())))
+      .string();
+
+  ~Folder() { fs::remove_all(path_); }
+
+  std::string Log() const { return path_ + "/log"; }
+
+  // Overwrites bytes of the log with zeros, as a write that never came.
+  void Erase(std::uintmax_t aFrom, std::uintmax_t aTo) const
+  {
+    std::fstream file(Log(), std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(aFrom));
+    file << std::string(aTo - aFrom, '\0');
+  }
+};
+
+SaveEntries
+MakeEntries(std::uint64_t aIndex)
+{
+  wire::Change change;
+  change.set_index(aIndex);
+  change.set_term(1);
+  change.mutable_document()->set_version(aIndex);
+  change.mutable_document()->set_body("a body that takes some room");
+  return { { change } };
+}
+
+} // namespace
+
+TEST_CASE("A voter's disk after a loss of power")
+{
+  const Folder folder;
+  std::string id;
+  std::vector<std::uintmax_t> sizes; // after each sync
+  {
+    VoterDisk disk;
+    REQUIRE(disk.Open(folder.path_).has_value());
+    id = disk.Id();
+    std::uint64_t index = 1;
+    for (int sync = 0; sync < 3; sync++) {
+      disk.Save(MakeEntries(index++));
+      disk.Save(MakeEntries(index++));
+      REQUIRE(disk.Sync().has_value());
+      sizes.push_back(fs::file_size(folder.Log()));
+    }
+  }
+  const auto open = [&] {
+    VoterDisk disk;
+    const auto found = disk.Open(folder.path_);
+    REQUIRE(found.has_value());
+    return std::pair(disk.Id(), found->entries_.size());
+  };
+
+  SECTION("whole, it gives back all")
+  {
+    CHECK(open() == std::pair(id, std::size_t{ 6 }));
+  }
+
+  // The power was lost while the last write was being synced: nothing tells
+  // that it was.
+  const std::uintmax_t unsynced = sizes[2] - kSyncedBytes;
+
+  SECTION("the last write may be there in parts, in any order")
+  {
+    // Its first record is missing, and the second one is whole.
+    fs::resize_file(folder.Log(), unsynced);
+    folder.Erase(sizes[1], sizes[1] + (unsynced - sizes[1]) / 2);
+    CHECK(open() == std::pair(id, std::size_t{ 4 }));
+    CHECK(open() == std::pair(id, std::size_t{ 4 }));
+  }
+
+  SECTION("the last write may be cut short")
+  {
+    fs::resize_file(folder.Log(), unsynced - 3);
+    CHECK(open() == std::pair(id, std::size_t{ 5 }));
+  }
+
+  SECTION("without what tells that it was synced, the write before it counts")
+  {
+    folder.Erase(sizes[1] - kSyncedBytes, sizes[1]);
+    fs::resize_file(folder.Log(), unsynced);
+    CHECK(open() == std::pair(id, std::size_t{ 4 }));
+  }
+
+  SECTION("damage to a write that was synced is a lost disk")
+  {
+    folder.Erase(sizes[1] + 4, sizes[1] + 20);
+    CHECK(open().first != id);
+  }
+
+  SECTION("damage before a later sync is a lost disk")
+  {
+    folder.Erase(sizes[0] + 4, sizes[0] + 20);
+    const auto [other, entries] = open();
+    CHECK(other != id);
+    CHECK(entries == 0);
+  }
+}
+
+} // namespace jaydoor::tests
