--- a/daemon/SessionShell.h
+++ b/daemon/SessionShell.h
@@ -127,7 +127,7 @@
   TrafficPort Port()
   {
     TrafficPort port;
-    port.setView_ = [this](FleetViewPtr aView, std::vector<wire::Vm>) {
+    port.setView_ = [this](FleetViewPtr aView, const std::vector<wire::Vm>&) {
       Post([this, view = std::move(aView)] { TakeView(view); });
     };
     port.drain_ = [this](bool aOn) {
@@ -146,7 +146,7 @@
       });
     };
     port.collectUpstreams_ =
-      [](std::function<void(std::vector<UpstreamFigures>)> aCallback) {
+      [](const std::function<void(std::vector<UpstreamFigures>)>& aCallback) {
         aCallback({});
       };
     port.grant_ = [this](wire::LeaseGrant aGrant) {
