--- a/gateway/GroupLog.cpp
+++ b/gateway/GroupLog.cpp
@@ -79,15 +79,6 @@
   return *found;
 }
 
-std::optional<GroupLog::Mark>
-GroupLog::Newest() const
-{
-  if (marks_.empty()) {
-    return std::nullopt;
-  }
-  return marks_.back();
-}
-
 bool
 GroupLog::IsLikely(const ServerId& aServer, const Mark& aMark, Time aNow) const
 {
--- a/gateway/GroupLog.h
+++ b/gateway/GroupLog.h
@@ -41,7 +41,6 @@
   // A point that holds all commits of earlier terms that the present one has
   // kept.
   std::optional<LogPoint> TermStart() const { return termStart_; }
-  std::optional<Mark> Newest() const;
   // True if the replica is expected to hold the mark by now.
   bool IsLikely(const ServerId& aServer, const Mark& aMark, Time aNow) const;
 
