A replaced disk is admitted as a voter for sure

A voter that was dropped also never asked again, since a leader once heard counted as heard for ever.

Messages between voters now name the disk they are meant for; a VM counts as unseen from the first look at it; a voter that hears no leader for 2 s asks. By the way: answers to reads of an earlier run prove nothing any more, and a VM that starts later finds the fleet by its disk when its settings name no seed.

Ruled out: elections after a restart, torn writes, lost ZeroMQ edges (the logs show all three voters joined and no election).

--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -48,12 +48,17 @@
   , promoter_(config_.promoter_)
   , failover_(config_.failover_)
   , leases_(config_.lease_)
+  // Answers to questions of an earlier run may still come in.
+  , nextRead_(std::mt19937_64(config_.seed_)())
+  , proofRequest_(nextRead_++)
 {
   if (aDisk) {
     state_.Install(aDisk->snapshot_);
     raft_.emplace(
       config_.self_.voter(), config_.raft_, config_.seed_, std::move(*aDisk));
     published_ = state_.Index();
+    // The settings may name VMs that are gone, or none.
+    membership_.AddSeeds(ListStoredVms());
   }
 }
 
@@ -80,6 +85,29 @@
   membership_.AddSeeds(std::move(aSeeds));
 }
 
+std::vector<wire::Vm>
+ControlNode::ListStoredVms() const
+{
+  std::set<VmId> ids;
+  if (config_.idsAreHosts_ && raft_) {
+    for (const auto& voter : raft_->Voters().voters()) {
+      ids.insert(VmOfVoter(voter));
+    }
+    for (const auto& [holder, zone] : state_.Holders()) {
+      ids.insert(holder);
+    }
+  }
+  ids.erase(config_.self_.id());
+  std::vector<wire::Vm> vms;
+  for (const auto& id : ids) {
+    wire::Vm& vm = vms.emplace_back();
+    vm.set_id(id);
+    vm.set_host(id);
+    vm.set_control_port(config_.self_.control_port());
+  }
+  return vms;
+}
+
 VmId
 ControlNode::LeaderVm() const
 {
@@ -252,15 +280,7 @@
       }
       break;
     case wire::ControlMessage::kIndexReply:
-      provenIndex_ =
-        std::max(provenIndex_.value_or(0), message.index_reply().index());
-      if (message.index_reply().index() > state_.Index() && !raft_) {
-        AskDelta(from, aOut);
-      }
-      if (const auto read = reads_.find(message.index_reply().request());
-          read != reads_.end()) {
-        read->second.index_ = message.index_reply().index();
-      }
+      TakeIndexReply(from, message.index_reply(), aOut);
       break;
     case wire::ControlMessage::kPropose:
       // Only the leader takes it: a proposal is not passed on twice.
@@ -286,6 +306,25 @@
   SendAll(std::move(sends), aOut);
 }
 
+// Only an answer to a question of this run proves anything: links keep what
+// could not be delivered while this VM was down.
+void
+ControlNode::TakeIndexReply(const VmId& aFrom,
+                            const wire::IndexReply& aReply,
+                            ControlActions& aOut)
+{
+  const auto read = reads_.find(aReply.request());
+  if (read != reads_.end()) {
+    read->second.index_ = aReply.index();
+  } else if (aReply.request() != proofRequest_) {
+    return;
+  }
+  provenIndex_ = std::max(provenIndex_.value_or(0), aReply.index());
+  if (aReply.index() > state_.Index() && !raft_) {
+    AskDelta(aFrom, aOut);
+  }
+}
+
 // Asks for what this VM lacks.
 void
 ControlNode::AskDelta(const VmId& aFrom, ControlActions& aOut)
@@ -512,7 +551,7 @@
   }
   proofAt_ = aNow + kProofEvery;
   wire::ControlMessage ask;
-  ask.mutable_index_request();
+  ask.mutable_index_request()->set_request(proofRequest_);
   SendToVoters(ask, aOut);
   for (const auto& vm : membership_.ChooseRandom(1)) {
     AskDelta(vm, aOut);
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -182,6 +182,7 @@
   std::size_t voterCount_ = 0; // voters wanted; 0: all that have a data folder
   bool mayFound_ = true;       // a blank fleet may found its control state
   bool outsidePromotion_ = false; // an outside service promotes: see Failover
+  bool idsAreHosts_ = false; // VM ids are IPs, with one control port for all
   RaftTiming raft_;
   MembershipTiming membership_;
   PromoterTiming promoter_;
@@ -210,6 +211,9 @@
 
   // Other VMs to join through; those that are known stay.
   void AddSeeds(std::vector<wire::Vm> aSeeds);
+  // Those that the disk names: voters, and VMs that hold leases. Only where
+  // ids are hosts; elsewhere nothing tells how to reach them.
+  std::vector<wire::Vm> ListStoredVms() const;
 
   const ControlState& State() const { return state_; }
   const Membership& Members() const { return membership_; }
@@ -310,6 +314,9 @@
   void TickGone(Time aNow);
   void MoveSnapshot(Time aNow, ControlActions& aOut);
 
+  void TakeIndexReply(const VmId& aFrom,
+                      const wire::IndexReply& aReply,
+                      ControlActions& aOut);
   void AskDelta(const VmId& aFrom, ControlActions& aOut);
   void NoteLeader(const VoterId& aLeader);
   void TakeDelta(const VmId& aFrom,
@@ -337,7 +344,8 @@
   std::map<std::string, PendingRules> rules_;        // by request
   std::map<std::string, PendingDocument> documents_; // by content
   std::map<std::uint64_t, PendingRead> reads_;       // by request
-  std::uint64_t nextRead_ = 1;
+  std::uint64_t nextRead_ = 1;         // from a random number on, each start
+  std::uint64_t proofRequest_ = 0;     // asks for the proof at the start
   std::uint64_t proposedDocument_ = 0; // highest version, as the leader
   std::map<ServerId, PendingUpstream> upstreams_;
   std::map<ServerId, Heard> heard_; // upstreams that announce to this VM
@@ -347,11 +355,9 @@
   Time pullAt_;
   Time goneAt_;
   Time startedAt_;
-  Time leaderSince_;
   bool leasesReset_ = false; // with all that earlier leaders have committed
   std::map<VmId, Time> registeredAt_;
   std::map<VmId, Time> holderSeen_; // while this VM is the leader
-  Time leaderHeardAt_;
   Time sizeAt_;
   std::map<VoterId, Time> voterSeen_;    // while this VM is the leader
   std::map<VoterId, ZoneId> voterZones_; // last known
--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -100,7 +100,7 @@
 ControlNode::TickHolders(Time aNow, ControlActions& aOut)
 {
   for (const auto& [vm, zone] : state_.Holders()) {
-    Time& seen = holderSeen_.try_emplace(vm, leaderSince_).first->second;
+    Time& seen = holderSeen_.try_emplace(vm, aNow).first->second;
     if (membership_.IsAlive(vm)) {
       seen = aNow;
     } else if (aNow - seen >= kHolderGoneAfter) {
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -37,9 +37,7 @@
   hello.mutable_founding()->set_blank(raft_->IsBlank());
   if (!raft_->IsBlank()) {
     // The others may have gone on without this voter while it was away.
-    if (!raft_->Leader().empty()) {
-      leaderHeardAt_ = aNow;
-    } else if (aNow - leaderHeardAt_ >= kRejoinAfter) {
+    if (aNow - std::max(startedAt_, raft_->LeaderHeard()) >= kRejoinAfter) {
       SendToVoters(hello, aOut);
     }
     return;
@@ -155,7 +153,6 @@
     leases_.Reset(state_, raft_->Term(), aNow);
     leasesReset_ = false;
     proposedDocument_ = 0;
-    leaderSince_ = aNow;
     voterSeen_.clear();
     holderSeen_.clear();
     registeredAt_.clear();
@@ -171,7 +168,8 @@
 bool
 ControlNode::IsVoterGone(const VoterId& aVoter, Time aNow, Duration aLimit)
 {
-  Time& seen = voterSeen_.try_emplace(aVoter, leaderSince_).first->second;
+  // One that joined a moment ago counts from now, and not from the election.
+  Time& seen = voterSeen_.try_emplace(aVoter, aNow).first->second;
   if (membership_.IsAlive(VmOfVoter(aVoter))) {
     seen = aNow;
   }
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -100,10 +100,11 @@
 }
 
 wire::ControlMessage
-Raft::MakeMessage() const
+Raft::MakeMessage(const VoterId& aTo) const
 {
   wire::ControlMessage message;
   message.set_from_voter(self_);
+  message.set_to_voter(aTo);
   return message;
 }
 
@@ -161,6 +162,7 @@
       aNow + Duration(static_cast<Duration::rep>(random_() % (spread + 1)));
   }
   if (role_ == Role::Leader) {
+    leaderHeard_ = aNow;
     const bool alone = aNow - leaderSince_ >= timing_.electionMin_ &&
                        aNow - QuorumHeard(aNow) >= timing_.electionMin_;
     if (alone) {
@@ -242,7 +244,7 @@
     if (id == self_) {
       continue;
     }
-    auto message = MakeMessage();
+    auto message = MakeMessage(id);
     auto& vote = *message.mutable_vote();
     vote.set_term(aPre ? hard_.term() + 1 : hard_.term());
     vote.set_last_index(LastIndex());
@@ -284,7 +286,7 @@
       ? HasLease(aNow)
       : !started_ || (aNow < loyalUntil_ && !(fresh_ && aRequest.all_fresh()));
   const bool mayVote = IsVoter(self_) && IsVoter(aFrom) && !sticky;
-  auto message = MakeMessage();
+  auto message = MakeMessage(aFrom);
   auto& reply = *message.mutable_vote_reply();
   reply.set_pre(aRequest.pre());
   reply.set_fresh(fresh_ && started_);
@@ -413,7 +415,7 @@
 {
   Peer& peer = peers_[aTo];
   peer.sentAt_ = aNow;
-  auto message = MakeMessage();
+  auto message = MakeMessage(aTo);
   if (peer.next_ <= snapshot_.index()) {
     // It has to take the snapshot first.
     if (aNow - peer.snapshotAt_ < kSnapshotPause) {
@@ -555,6 +557,7 @@
   }
   fresh_ = false;
   leader_ = aFrom;
+  leaderHeard_ = aNow;
   loyalUntil_ = aNow + timing_.electionMin_;
   ResetElection(aNow);
   return true;
@@ -593,7 +596,7 @@
 {
   aReply.set_term(hard_.term());
   aReply.set_sent_us(aSentUs);
-  auto message = MakeMessage();
+  auto message = MakeMessage(aTo);
   *message.mutable_append_reply() = std::move(aReply);
   aOut.push_back(SendVoter{ aTo, std::move(message) });
 }
@@ -660,7 +663,9 @@
               RaftActions& aOut)
 {
   const VoterId& from = aMessage.from_voter();
-  if (from.empty() || from == self_) {
+  // What is meant for the disk that this VM had before must not pass for a
+  // word from a leader: this one would never ask to be admitted.
+  if (from.empty() || from == self_ || aMessage.to_voter() != self_) {
     return;
   }
   switch (aMessage.body_case()) {
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -122,6 +122,8 @@
   // True if no other leader can have been elected up to now.
   bool HasLease(Time aNow) const;
   const VoterId& Leader() const { return leader_; } // empty: unknown
+  // When a leader was last heard; on the leader itself, the last tick.
+  Time LeaderHeard() const { return leaderHeard_; }
   const VoterId& Self() const { return self_; }
   std::uint64_t Term() const { return hard_.term(); }
   std::uint64_t CommitIndex() const { return commit_; }
@@ -203,7 +205,7 @@
   std::uint64_t TermAt(std::uint64_t aIndex) const;
   const wire::Change& EntryAt(std::uint64_t aIndex) const;
   std::vector<VoterId> Others() const;
-  wire::ControlMessage MakeMessage() const;
+  wire::ControlMessage MakeMessage(const VoterId& aTo) const;
 
   VoterId self_;
   RaftTiming timing_;
@@ -224,6 +226,7 @@
   Time loyalUntil_; // until then nobody but the leader is followed
   Time electionAt_; // an election starts unless a leader is heard
   Time leaderSince_;
+  Time leaderHeard_;
   bool started_ = false; // the clock of elections runs
   std::map<VoterId, Peer> peers_;
 };
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -93,6 +93,7 @@
     config.voterCount_ = settings_.voterCount_;
     config.mayFound_ = settings_.mayFound_;
     config.outsidePromotion_ = settings_.outsidePromotion_;
+    config.idsAreHosts_ = settings_.idsAreHosts_;
     config.seed_ = std::random_device{}();
     std::optional<RaftDisk> disk;
     if (!settings_.dataFolder_.empty()) {
@@ -110,6 +111,9 @@
     for (const auto& peer : settings_.peers_) {
       SetPeer(peer);
     }
+    for (const auto& vm : node_->ListStoredVms()) {
+      SetPeer(vm);
+    }
     const auto bound = link_.Bind(settings_.controlPort_);
     if (!bound) {
       return bound;
--- a/daemon/Settings.h
+++ b/daemon/Settings.h
@@ -29,6 +29,7 @@
   std::size_t voterCount_ = 0;      // voters wanted; 0: all with a data folder
   bool mayFound_ = true;            // a blank fleet may found its state
   bool outsidePromotion_ = false;   // an outside service promotes primaries
+  bool idsAreHosts_ = false;        // a VM's id is its IP, on the same ports
   std::vector<std::string> sessionKeys_; // the first one signs
   std::string operatorSecret_;           //
   std::string announceSecret_;           // empty: announcements need none
--- /dev/null
+++ b/tests/VoterWorld.cpp
@@ -0,0 +1,405 @@
+#include "tests/VoterWorld.h"
+
+#include "base/Compress.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace jaydoor::tests {
+namespace {
+
+constexpr std::size_t kKept = 64; // messages that a link keeps
+constexpr Duration kCatchUp = 4s; // until a VM that came back counts as there
+constexpr Duration kAskLeases = 400ms;
+constexpr const char* kZones[] = { "zone-a", "zone-b", "zone-c" };
+
+} // namespace
+
+VoterWorld::VoterWorld(std::uint64_t aSeed)
+  : random_(aSeed)
+{
+  for (std::size_t i = 0; i < 5; i++) {
+    Vm vm;
+    vm.info_.set_id(fmt::format("10.0.0.{}", i + 1));
+    vm.info_.set_host(vm.info_.id());
+    vm.info_.set_zone(kZones[i % 3]);
+    vm.info_.set_control_port(1);
+    vm.votes_ = i < 3;
+    vms_[vm.info_.id()] = std::move(vm);
+  }
+  for (auto& [id, vm] : vms_) {
+    At(now_ + Between(0ms, 300ms), [this, id] { Start(id); });
+  }
+  At(now_ + 1s, [this] { Operate(); });
+  At(now_ + 2s, [this] { Disturb(); });
+}
+
+// ---- Time
+
+Duration
+VoterWorld::Between(Duration aLeast, Duration aMost)
+{
+  const auto spread = static_cast<std::uint64_t>((aMost - aLeast).count());
+  return aLeast +
+         Duration(static_cast<Duration::rep>(random_() % (spread + 1)));
+}
+
+void
+VoterWorld::At(Time aTime, Task aTask)
+{
+  tasks_[{ aTime, order_++ }] = std::move(aTask);
+}
+
+void
+VoterWorld::Run(Duration aTime)
+{
+  const Time end = now_ + aTime;
+  while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
+    now_ = tasks_.begin()->first.first;
+    const Task task = std::move(tasks_.begin()->second);
+    tasks_.erase(tasks_.begin());
+    task();
+  }
+  now_ = end;
+}
+
+void
+VoterWorld::Fail(const std::string& aWhat)
+{
+  failures_.push_back(fmt::format(
+    "{} ms: {}", CountMs(now_.time_since_epoch()) - 1'000'000, aWhat));
+}
+
+// ---- VMs
+
+void
+VoterWorld::Start(const VmId& aVm)
+{
+  Vm& vm = At(aVm);
+  if (vm.up_) {
+    return;
+  }
+  vm.up_ = true;
+  vm.life_++;
+  vm.upSince_ = now_;
+  vm.frozenUntil_ = Time{};
+  vm.info_.set_incarnation(
+    static_cast<std::uint64_t>(CountMs(now_.time_since_epoch())));
+  const bool first = vm.life_ == 1;
+  ControlConfig config;
+  config.seed_ = random_();
+  config.voterCount_ = 3;
+  config.mayFound_ = first;
+  config.outsidePromotion_ = true;
+  config.idsAreHosts_ = true;
+  vm.peers_.clear();
+  for (const auto& [id, other] : vms_) {
+    if (other.votes_ && (first || namesSeeds_)) {
+      config.seeds_.push_back(other.info_);
+      config.voterVms_.push_back(id);
+      vm.peers_.insert(id);
+    }
+    links_.erase({ aVm, id });
+    Queue& from = links_[{ id, aVm }];
+    from.openFrom_ = now_ + Between(1ms, 450ms);
+    At(from.openFrom_, [this, key = LinkKey{ id, aVm }] { Flush(key); });
+  }
+  std::optional<RaftDisk> disk;
+  if (vm.votes_) {
+    if (vm.disk_ == 0) {
+      vm.disk_ = order_++ + 1;
+    }
+    vm.info_.set_voter(fmt::format("{}/{}", aVm, vm.disk_));
+    disk = vm.saved_;
+  }
+  config.self_ = vm.info_;
+  vm.node_ = std::make_unique<ControlNode>(config, std::move(disk));
+  for (const auto& other : vm.node_->ListStoredVms()) {
+    vm.peers_.insert(other.id());
+  }
+  const std::uint64_t life = vm.life_;
+  At(now_, [this, aVm, life] { Tick(aVm, life); });
+  if (!vm.votes_) {
+    AskLeases(aVm, life);
+  }
+}
+
+void
+VoterWorld::Kill(const VmId& aVm)
+{
+  At(aVm).up_ = false;
+  for (const auto& [id, vm] : vms_) {
+    links_.erase({ aVm, id });
+    links_[{ id, aVm }].openFrom_ = Time::max();
+  }
+}
+
+void
+VoterWorld::Wipe(const VmId& aVm)
+{
+  At(aVm).saved_ = RaftDisk{};
+  At(aVm).disk_ = 0;
+}
+
+void
+VoterWorld::Cut(const VmId& aVm)
+{
+  cut_.insert(aVm);
+}
+
+void
+VoterWorld::RestartAll(Duration aDown)
+{
+  for (auto& [id, vm] : vms_) {
+    Kill(id);
+    At(now_ + aDown + Between(0ms, 300ms), [this, id] { Start(id); });
+  }
+}
+
+void
+VoterWorld::Tick(const VmId& aVm, std::uint64_t aLife)
+{
+  Vm& vm = At(aVm);
+  if (!vm.up_ || vm.life_ != aLife) {
+    return;
+  }
+  if (now_ < vm.frozenUntil_) {
+    At(vm.frozenUntil_, [this, aVm, aLife] { Tick(aVm, aLife); });
+    return;
+  }
+  Step(vm, TakeControlTick{});
+  At(vm.node_->NextWake(now_), [this, aVm, aLife] { Tick(aVm, aLife); });
+}
+
+// As the traffic thread of a VM with callers does.
+void
+VoterWorld::AskLeases(const VmId& aVm, std::uint64_t aLife)
+{
+  Vm& vm = At(aVm);
+  if (!vm.up_ || vm.life_ != aLife) {
+    return;
+  }
+  if (now_ >= vm.frozenUntil_) {
+    wire::LeaseRequest request;
+    request.set_sent_us(now_.time_since_epoch().count());
+    request.set_incarnation(aLife);
+    Step(vm, TakeLeaseRequest{ request });
+  }
+  At(now_ + kAskLeases, [this, aVm, aLife] { AskLeases(aVm, aLife); });
+}
+
+void
+VoterWorld::Step(Vm& aVm, ControlEvent aEvent)
+{
+  ControlActions actions;
+  aVm.node_->Step(std::move(aEvent), now_, actions);
+  for (auto& action : actions) {
+    Save(aVm, action);
+    Perform(aVm, action);
+  }
+}
+
+void
+VoterWorld::Save(Vm& aVm, ControlAction& aAction)
+{
+  RaftDisk& disk = aVm.saved_;
+  if (auto* hard = std::get_if<SaveHardState>(&aAction)) {
+    disk.hard_ = hard->state_;
+  } else if (auto* entries = std::get_if<SaveEntries>(&aAction)) {
+    const std::uint64_t first = entries->entries_.front().index();
+    disk.entries_.resize(first - disk.snapshot_.index() - 1);
+    disk.entries_.insert(
+      disk.entries_.end(), entries->entries_.begin(), entries->entries_.end());
+  } else if (auto* snapshot = std::get_if<SaveSnapshot>(&aAction)) {
+    disk.snapshot_ = snapshot->snapshot_;
+    disk.entries_ = snapshot->entries_;
+  }
+}
+
+void
+VoterWorld::Perform(Vm& aVm, ControlAction& aAction)
+{
+  const VmId id = aVm.info_.id();
+  if (auto* send = std::get_if<SendVm>(&aAction)) {
+    for (const auto& member : aVm.node_->Members().LiveVms()) {
+      aVm.peers_.insert(member.id());
+    }
+    if (aVm.peers_.contains(send->to_)) {
+      Send(id, send->to_, std::move(send->message_));
+    }
+  } else if (auto* answer = std::get_if<AnswerDocument>(&aAction)) {
+    const auto found = stores_.find(answer->operator_);
+    if (answer->stored_ && found != stores_.end()) {
+      stored_ = std::max(stored_, found->second);
+      storedCount_++;
+    }
+  } else if (auto* read = std::get_if<AnswerDocumentRead>(&aAction)) {
+    const auto found = reads_.find(read->operator_);
+    if (read->body_ && found != reads_.end()) {
+      readCount_++;
+      const std::uint64_t version = std::stoull(*read->body_);
+      if (version < found->second) {
+        Fail(fmt::format(
+          "{} read version {} after {}", id, version, found->second));
+      }
+    }
+  }
+}
+
+// ---- Links
+
+bool
+VoterWorld::Reaches(const VmId& aFrom, const VmId& aTo) const
+{
+  return !cut_.contains(aFrom) && !cut_.contains(aTo);
+}
+
+void
+VoterWorld::Send(const VmId& aFrom,
+                 const VmId& aTo,
+                 wire::ControlMessage aMessage)
+{
+  Queue& queue = links_[{ aFrom, aTo }];
+  if (queue.kept_.size() < kKept) {
+    queue.kept_.push_back(std::move(aMessage));
+  }
+  Flush({ aFrom, aTo });
+}
+
+void
+VoterWorld::Flush(const LinkKey& aKey)
+{
+  const auto& [from, to] = aKey;
+  Queue& queue = links_[aKey];
+  if (!At(to).up_ || now_ < queue.openFrom_ || !Reaches(from, to)) {
+    return;
+  }
+  for (auto& message : queue.kept_) {
+    queue.lastAt_ = std::max(queue.lastAt_, now_ + Between(200us, 2ms));
+    const std::uint64_t life = At(to).life_;
+    const auto deliver = std::make_shared<Task>();
+    *deliver = [this,
+                id = to,
+                life,
+                deliver = std::weak_ptr<Task>(deliver),
+                message = std::move(message)] {
+      Vm& vm = At(id);
+      if (!vm.up_ || vm.life_ != life) {
+        return;
+      }
+      if (now_ < vm.frozenUntil_) {
+        At(vm.frozenUntil_, [task = deliver.lock()] { (*task)(); });
+        return;
+      }
+      Step(vm, TakeControlMessage{ message });
+    };
+    At(queue.lastAt_, [deliver] { (*deliver)(); });
+  }
+  queue.kept_.clear();
+}
+
+// ---- The operator
+
+VmId
+VoterWorld::AnyVm(bool aVoter)
+{
+  std::vector<VmId> some;
+  for (const auto& [id, vm] : vms_) {
+    if (!aVoter || vm.votes_) {
+      some.push_back(id);
+    }
+  }
+  return some[random_() % some.size()];
+}
+
+void
+VoterWorld::Operate()
+{
+  At(now_ + Between(20ms, 300ms), [this] { Operate(); });
+  Vm& vm = At(AnyVm(true));
+  if (!vm.up_ || now_ < vm.frozenUntil_) {
+    return;
+  }
+  const std::uint64_t id = nextOperator_++;
+  if (random_() % 2 == 0) {
+    stores_[id] = nextVersion_++;
+    wire::Document document;
+    document.set_version(stores_[id]);
+    document.set_body(Compress(std::to_string(stores_[id])));
+    Step(vm, TakeDocument{ id, std::move(document) });
+  } else {
+    reads_[id] = stored_;
+    Step(vm, TakeDocumentRead{ id });
+  }
+}
+
+void
+VoterWorld::CheckServing()
+{
+  for (auto& [id, vm] : vms_) {
+    const std::size_t before = readCount_;
+    const std::uint64_t number = nextOperator_++;
+    reads_[number] = stored_;
+    Step(vm, TakeDocumentRead{ number });
+    Run(1s);
+    if (readCount_ == before) {
+      Fail(fmt::format("{} can't read the configuration", id));
+    }
+  }
+}
+
+// ---- Faults
+
+// One voter may be lost at a time; it counts as lost until it has caught up.
+bool
+VoterWorld::MayLose(const VmId& aVm) const
+{
+  return std::all_of(vms_.begin(), vms_.end(), [&](const auto& aEntry) {
+    const auto& [id, vm] = aEntry;
+    const bool sound =
+      vm.up_ && !cut_.contains(id) &&
+      now_ - std::max(vm.upSince_, vm.frozenUntil_) >= kCatchUp;
+    return !vm.votes_ || id == aVm || sound;
+  });
+}
+
+void
+VoterWorld::Disturb()
+{
+  At(now_ + Between(200ms, 3s), [this] { Disturb(); });
+  if (!faults_) {
+    return;
+  }
+  const VmId id = AnyVm(random_() % 4 != 0);
+  const std::uint64_t kind = random_() % 10;
+  if (kind == 0) {
+    RestartAll(Between(100ms, 2s));
+    return;
+  }
+  if (!At(id).up_ || !MayLose(id)) {
+    return;
+  }
+  if (kind < 4) {
+    Kill(id);
+    At(now_ + Between(50ms, 4s), [this, id] { Start(id); });
+  } else if (kind < 7) {
+    Kill(id);
+    Wipe(id);
+    At(now_ + Between(50ms, 4s), [this, id] { Start(id); });
+  } else if (kind < 8) {
+    At(id).frozenUntil_ = now_ + Between(50ms, 3s);
+  } else {
+    Cut(id);
+    At(now_ + Between(100ms, 4s), [this, id] {
+      cut_.erase(id);
+      At(id).upSince_ = now_;
+      for (const auto& [other, vm] : vms_) {
+        Flush({ id, other });
+        Flush({ other, id });
+      }
+    });
+  }
+}
+
+} // namespace jaydoor::tests
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -309,6 +309,18 @@
     CHECK(settings.dataFolder_ == "/data/x");
   }
 
+  SECTION("seeds are needed at the first start only")
+  {
+    const std::string later = std::regex_replace(
+      std::regex_replace(good, std::regex("seeds: .*"), "seeds: []"),
+      std::regex("bootstrap: true"),
+      "bootstrap: false");
+    const auto file = ReadNodeFile(WriteFile(later));
+    REQUIRE(file.has_value());
+    CHECK(file->seeds_.empty());
+    CHECK_FALSE(MakeSettings(*file).mayFound_);
+  }
+
   SECTION("a wrong one names the field and the remedy")
   {
     const std::vector<std::string> bad = {
