Links try again sooner

After all were restarted there was no leader for 0.55 s: VMs that start within milliseconds of each other find ports closed, or send to VMs that are still dark, and the links waited 50 to 200 ms, or 250 ms for a connect, before they tried again.

--- a/daemon/Link.cpp
+++ b/daemon/Link.cpp
@@ -20,11 +20,13 @@
 constexpr int kHeartbeatMs = 250; // silent links are found by these
 constexpr int kHeartbeatTimeoutMs = 750;
 constexpr int kHandshakeMs = 1000;    // a new link that says nothing is dropped
-constexpr int kConnectMs = 250;       // a lost opening packet is sent again
+constexpr int kConnectMs = 100;       // a lost opening packet is sent again
 constexpr Duration kCloseAfter = 60s; // an unused link
 constexpr Duration kSweepEvery = 10s;
-constexpr int kReconnectMs = 50;
-constexpr int kReconnectMaxMs = 200;
+// VMs that start together find each other's ports closed at first; until they
+// try again there is no leader.
+constexpr int kReconnectMs = 20;
+constexpr int kReconnectMaxMs = 100;
 constexpr int kQueueMessages = 20'000; // per peer, then refused
 // What waits for a peer that can't be reached would come late and in a flood.
 constexpr int kKeptMessages = 64;
