A VM that is cut off from most servers leaves the rotation, and closes sessions sooner

Cause: in a cut zone the entry VM stayed in the balancer's rotation for the whole cut, since only primaries counted and two of three were in its zone; its callers were refused for 5 s. Now servers count as well. Sessions at rest were closed 2.3 s after it left; now as soon as the balancer was told twice.

Beside it, not used yet: a stand-in group of servers for tests of the adapter.

--- a/daemon/SessionShell.h
+++ b/daemon/SessionShell.h
@@ -120,7 +120,8 @@
   }
 
   boost::asio::io_context& Context() { return context_; }
-  const Gateway& Node() const { return gateway_; }
+  // The answer to the balancer's question whether this VM takes sessions.
+  bool AnswerProbe() { return gateway_.AnswerProbe(ReadClock()); }
   void Run() { context_.run(); }
 
   // The control thread's view of this one.
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -187,7 +187,8 @@
 {
   ZoneId zone_;
   std::uint64_t incarnation_ = 1; // differs at each start of the process
-  Duration drainQuiet_ = 2300ms;  // until nobody sends new sessions here
+  Duration drainQuiet_ = 2300ms;  // until nobody sends new sessions here, if
+                                  // the balancer does not ask
   Duration drainIdle_ = 3s;       // an open transaction may go on so long
 };
 
@@ -228,8 +229,10 @@
   // When a TakeGatewayTick is due at the latest.
   Time NextWake(Time aNow) const;
 
-  // True if sessions can be served: for the balancer.
+  // True if sessions can be served.
   bool IsReady() const;
+  // The answer to the balancer's question, which tells it so.
+  bool AnswerProbe(Time aNow);
   // True if no session is left.
   bool IsIdle() const { return sessions_.empty() && openings_.empty(); }
 
@@ -512,6 +515,7 @@
 
   bool IsCatalogProven() const;
   bool SeesIsolation(Time aNow) const;
+  bool IsOutOfRotation(Time aSince, Time aNow) const;
   void TickIsolation(Time aNow, GatewayActions& aOut);
   void CloseResting(Time aNow, GatewayActions& aOut);
   Server* FindServer(const ServerId& aServer);
@@ -535,6 +539,8 @@
   std::optional<Time> drainingSince_;
   std::optional<Time> isolatedSince_; // nothing can be served from here
   Time servingSeenAt_;                // it could, at this time
+  int probesMissed_ = 0;              // answers of "not ready" in a row
+  Time probeMissedAt_;                // the last one that was counted
   GatewayCounters counters_;
   std::vector<GatewaySample> samples_;
 };
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kHedgeLeast = 120ms;    // twice the longest usual statement
 constexpr int kHedgeTimes = 5;             // the smoothed service time
 constexpr Duration kIsolatedAfter = 300ms; // without any primary to use
+constexpr int kProbesMissed = 2;           // then a VM is out of rotation
+constexpr Duration kProbeGap = 700ms;      // between two that count as such
+constexpr Duration kProbeLag = 50ms;       // until the balancer has acted
 constexpr Duration kOpenLimit = 300ms;     // a connection that is being opened
 constexpr Duration kSilentAfter = 300ms;   // a primary that does not answer
 constexpr Duration kReportEvery = 200ms;   // a suspicion
@@ -45,14 +48,39 @@
   return !drainingSince_ && !isolatedSince_ && IsCatalogProven();
 }
 
-// True if no primary can be used, and half of them or more can't even be
-// reached: other VMs are better placed. A VM that only lacks the leader sees
-// its servers, and stays.
+bool
+Gateway::AnswerProbe(Time aNow)
+{
+  if (IsReady()) {
+    probesMissed_ = 0;
+    return true;
+  }
+  if (probesMissed_ == 0 || aNow - probeMissedAt_ >= kProbeGap) {
+    probesMissed_++;
+    probeMissedAt_ = aNow;
+  }
+  return false;
+}
+
+// True if nobody sends new sessions here any more.
+bool
+Gateway::IsOutOfRotation(Time aSince, Time aNow) const
+{
+  const bool told =
+    probesMissed_ >= kProbesMissed && aNow - probeMissedAt_ >= kProbeLag;
+  return told || aNow - aSince >= config_.drainQuiet_;
+}
+
+// True if no primary can be used, and half of the primaries, or of all
+// servers, can't even be reached: other VMs are better placed. A VM that only
+// lacks the leader sees its servers, and stays.
 bool
 Gateway::SeesIsolation(Time aNow) const
 {
   std::size_t groups = 0;
   std::size_t unreachable = 0;
+  std::size_t servers = 0;
+  std::size_t unreachableServers = 0;
   for (const auto& [name, group] : groups_) {
     const auto primary = servers_.find(group.primary_);
     if (primary == servers_.end()) {
@@ -64,8 +92,16 @@
       return false;
     }
     unreachable += reached ? 0U : 1U;
+    for (const auto& id : group.servers_) {
+      const auto server = servers_.find(id);
+      const bool failed =
+        server != servers_.end() && server->second.failures_ > 0;
+      servers++;
+      unreachableServers += failed ? 1U : 0U;
+    }
   }
-  return groups > 0 && unreachable * 2 >= groups;
+  return groups > 0 &&
+         (unreachable * 2 >= groups || unreachableServers * 2 >= servers);
 }
 
 // An isolated VM leaves the balancer's rotation. Once it is out, sessions at
@@ -86,7 +122,7 @@
                                           CountWaiting(),
                                           CountLeases(aNow)) });
   }
-  if (isolatedSince_ && aNow - *isolatedSince_ >= config_.drainQuiet_) {
+  if (isolatedSince_ && IsOutOfRotation(*isolatedSince_, aNow)) {
     CloseResting(aNow, aOut);
   }
 }
@@ -401,7 +437,7 @@
 void
 Gateway::TickDrain(Time aNow, GatewayActions& aOut)
 {
-  if (!drainingSince_ || aNow - *drainingSince_ < config_.drainQuiet_) {
+  if (!drainingSince_ || !IsOutOfRotation(*drainingSince_, aNow)) {
     return;
   }
   if (aNow - *drainingSince_ >= config_.drainIdle_) {
--- /dev/null
+++ b/tests/LineGroup.cpp
@@ -0,0 +1,538 @@
+#include "tests/LineGroup.h"
+
+#include "daemon/Clock.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace jaydoor::tests {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMaxLine = 1U << 20;
+constexpr Duration kAnnounceLimit = 1s;
+
+std::string_view
+TakeWord(std::string_view& aRest)
+{
+  const std::size_t end = std::min(aRest.find(' '), aRest.size());
+  const std::string_view word = aRest.substr(0, end);
+  aRest.remove_prefix(std::min(end + 1, aRest.size()));
+  return word;
+}
+
+// "TERM.NUMBER"
+std::pair<std::uint64_t, std::size_t>
+ReadPoint(const std::string& aText)
+{
+  const std::size_t dot = aText.find('.');
+  return { std::stoull(aText), std::stoull(aText.substr(dot + 1)) };
+}
+
+} // namespace
+
+LineGroup::LineGroup(asio::io_context& aContext, LineGroupConfig aConfig)
+  : context_(aContext)
+  , config_(std::move(aConfig))
+  , promotions_(aContext,
+                HttpLimits{},
+                [this](HttpCall aCall) {
+                  return TakePromotion(std::move(aCall));
+                })
+  , servers_(config_.servers_.size())
+{
+  for (std::size_t i = 0; i < servers_.size(); i++) {
+    servers_[i].id_ = fmt::format("{}-{}", config_.service_, i);
+    servers_[i].primary_ = i == 0;
+  }
+}
+
+LineGroup::~LineGroup()
+{
+  for (std::size_t i = 0; i < servers_.size(); i++) {
+    Crash(i);
+  }
+}
+
+Expected<bool>
+LineGroup::Start()
+{
+  for (std::size_t i = 0; i < servers_.size(); i++) {
+    const auto& address = config_.servers_[i];
+    boost::system::error_code error;
+    auto acceptor = std::make_shared<Tcp::acceptor>(context_);
+    const Tcp::endpoint endpoint(asio::ip::make_address(address.host_),
+                                 address.port_);
+    acceptor->open(endpoint.protocol());
+    acceptor->set_option(Tcp::acceptor::reuse_address(true));
+    acceptor->bind(endpoint, error);
+    if (error) {
+      return MakeError(ErrorKind::Network,
+                       fmt::format("can't bind {}:{}: {}",
+                                   address.host_,
+                                   address.port_,
+                                   error.message()));
+    }
+    acceptor->listen();
+    acceptors_.push_back(std::move(acceptor));
+    asio::co_spawn(context_, Accept(i), asio::detached);
+    asio::co_spawn(context_, Announce(i), asio::detached);
+  }
+  return promotions_
+    .Listen(config_.promotions_.host_, config_.promotions_.port_)
+    .map([](auto) { return true; });
+}
+
+void
+LineGroup::Crash(std::size_t aServer)
+{
+  Server& server = servers_[aServer];
+  server.up_ = false;
+  boost::system::error_code ignored;
+  if (aServer < acceptors_.size()) {
+    acceptors_[aServer]->close(ignored);
+  }
+  for (const auto& socket : server.sockets_) {
+    socket->close(ignored);
+  }
+}
+
+std::string
+LineGroup::IdOf(std::size_t aServer) const
+{
+  return servers_[aServer].id_;
+}
+
+std::size_t
+LineGroup::Primary() const
+{
+  std::size_t best = 0;
+  for (std::size_t i = 0; i < servers_.size(); i++) {
+    const bool later = servers_[i].term_ > servers_[best].term_;
+    best = servers_[i].primary_ && (later || !servers_[best].primary_) ? i
+                                                                       : best;
+  }
+  return best;
+}
+
+std::vector<std::string>
+LineGroup::CommitsOf(const std::string& aItem) const
+{
+  std::vector<std::string> values;
+  for (const auto& entry : servers_[Primary()].log_) {
+    if (entry.item_ == aItem) {
+      values.push_back(entry.data_);
+    }
+  }
+  return values;
+}
+
+std::size_t
+LineGroup::OpenConnections() const
+{
+  std::size_t open = 0;
+  for (const auto& server : servers_) {
+    open += server.sockets_.size();
+  }
+  return open;
+}
+
+// ---- Connections
+
+asio::awaitable<void>
+LineGroup::Sleep(Duration aTime)
+{
+  asio::steady_timer timer(context_, aTime);
+  co_await timer.async_wait(kUse);
+}
+
+asio::awaitable<void>
+LineGroup::Accept(std::size_t aServer)
+{
+  const auto acceptor = acceptors_[aServer];
+  while (true) {
+    auto [error, accepted] = co_await acceptor->async_accept(kUse);
+    if (error) {
+      co_return;
+    }
+    const auto socket = std::make_shared<Tcp::socket>(std::move(accepted));
+    socket->set_option(Tcp::no_delay(true));
+    asio::co_spawn(context_, Serve(aServer, socket), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+LineGroup::Serve(std::size_t aServer, Socket aSocket)
+{
+  auto& sockets = servers_[aServer].sockets_;
+  sockets.insert(aSocket);
+  Connection connection;
+  connection.server_ = aServer;
+  std::string bytes;
+  bool opened = false;
+  while (true) {
+    const auto [error, size] = co_await asio::async_read_until(
+      *aSocket, asio::dynamic_buffer(bytes, kMaxLine), '\n', kUse);
+    if (error) {
+      break;
+    }
+    std::string line = bytes.substr(0, size - 1);
+    bytes.erase(0, size);
+    if (line.ends_with('\r')) {
+      line.pop_back();
+    }
+    std::string_view rest = line;
+    const std::string_view word = TakeWord(rest);
+    std::string answer;
+    if (!opened && word == "OPEN") {
+      answer = Open(aServer, rest);
+      opened = answer.starts_with("READY");
+    } else if (opened && word == "QUERY") {
+      answer = co_await Query(connection, std::string(rest));
+    }
+    co_await asio::async_write(*aSocket, asio::buffer(answer), kUse);
+    if (answer.empty() || !opened) {
+      break; // closed, or not understood
+    }
+  }
+  sockets.erase(aSocket);
+}
+
+// Service, who connects, and optionally the expected id.
+std::string
+LineGroup::Open(std::size_t aServer, std::string_view aFields)
+{
+  const Server& server = servers_[aServer];
+  const std::string_view service = TakeWord(aFields);
+  TakeWord(aFields);
+  const bool right =
+    service == config_.service_ && (aFields.empty() || aFields == server.id_);
+  if (!right) {
+    return "ERROR WRONGSRV another\r\n";
+  }
+  if (server.sockets_.size() > config_.connections_) {
+    return "ERROR CONNLIMIT full\r\n";
+  }
+  return fmt::format("READY I {}\r\n", PointOf(server, ReadClock()));
+}
+
+// The last position that the server shows.
+std::string
+LineGroup::PointOf(const Server& aServer, Time aNow)
+{
+  std::size_t shown = 0;
+  std::uint64_t term = 1;
+  for (const auto& entry : aServer.log_) {
+    if (!aServer.primary_ && entry.visibleAt_ > aNow) {
+      break;
+    }
+    shown++;
+    term = entry.term_;
+  }
+  return fmt::format("{}.{}", aServer.primary_ ? aServer.term_ : term, shown);
+}
+
+// ---- Statements
+
+asio::awaitable<std::string>
+LineGroup::Query(Connection& aConnection, std::string aFields)
+{
+  std::string_view rest = aFields;
+  TakeWord(rest); // the id
+  Answer answer;
+  if (rest.starts_with("SINCE ")) {
+    TakeWord(rest);
+    const auto wanted = ReadPoint(std::string(TakeWord(rest)));
+    const Server& server = servers_[aConnection.server_];
+    if (ReadPoint(PointOf(server, ReadClock())) < wanted) {
+      answer.error_ = "LAGGING";
+    }
+  }
+  const bool works = rest.starts_with("READ") || rest.starts_with("WRITE") ||
+                     rest.starts_with("EXECUTE") || rest == "COMMIT";
+  if (works) {
+    co_await Sleep(config_.work_);
+  }
+  if (answer.error_.empty()) {
+    answer = Run(aConnection, rest);
+  }
+  if (!answer.error_.empty() && aConnection.inside_) {
+    aConnection.failed_ = true;
+  }
+  std::string out;
+  for (const auto& row : answer.rows_) {
+    out += fmt::format("ROW {}\r\n", row);
+  }
+  out += answer.error_.empty()
+           ? fmt::format("COMPLETE {}\r\n",
+                         answer.signature_.empty() ? "-" : answer.signature_)
+           : fmt::format("ERROR {} {}\r\n",
+                         answer.error_,
+                         servers_[aConnection.server_].id_);
+  const char state = aConnection.failed_   ? 'E'
+                     : aConnection.inside_ ? 'T'
+                                           : 'I';
+  out += fmt::format("READY {} {}\r\n",
+                     state,
+                     PointOf(servers_[aConnection.server_], ReadClock()));
+  co_return out;
+}
+
+LineGroup::Answer
+LineGroup::Run(Connection& aConnection, std::string_view aText)
+{
+  Server& server = servers_[aConnection.server_];
+  std::string_view rest = aText;
+  const std::string_view verb = TakeWord(rest);
+  if (verb == "ROLLBACK" || verb == "COMMIT") {
+    return End(aConnection, verb == "COMMIT");
+  }
+  if (aConnection.failed_) {
+    return { {}, "MALFORMED", {} };
+  }
+  if (verb == "BEGIN") {
+    const bool reads = rest == "READ";
+    if (!reads && !server.primary_) {
+      return { {}, "READONLY", {} };
+    }
+    aConnection.inside_ = true;
+    aConnection.reads_ = reads;
+    aConnection.term_ = server.term_;
+    return {};
+  }
+  if (verb == "READ" || verb == "WRITE") {
+    const std::string item(TakeWord(rest));
+    return RunItem(aConnection, verb == "WRITE", item, std::string(rest));
+  }
+  if (verb == "EXECUTE") {
+    const auto found = aConnection.prepared_.find(std::string(TakeWord(rest)));
+    if (found == aConnection.prepared_.end()) {
+      return { {}, "NOSTMT", {} };
+    }
+    const std::string item(TakeWord(rest));
+    return RunItem(
+      aConnection, found->second.writes_, item, std::string(rest));
+  }
+  if (verb == "PREPARE") {
+    const std::string name(TakeWord(rest));
+    aConnection.prepared_[name] = { TakeWord(rest) == "WRITE" };
+    return {};
+  }
+  if (verb == "DEALLOC") {
+    aConnection.prepared_.erase(std::string(rest));
+    return {};
+  }
+  if (verb == "SET") {
+    const std::string name(TakeWord(rest));
+    aConnection.values_[name] = rest;
+    return {};
+  }
+  if (verb == "RESET") {
+    aConnection.values_.clear();
+    aConnection.prepared_.clear();
+    return {};
+  }
+  if (verb == "STATUS") {
+    return Status(server);
+  }
+  if (verb == "STEPDOWN") {
+    server.primary_ =
+      server.primary_ && server.term_ >= std::stoull(std::string(rest));
+    return Status(server);
+  }
+  return { {}, "MALFORMED", {} };
+}
+
+// Rows of a read: the item's value and the values set on the connection, so
+// that a test sees which ones its session has.
+LineGroup::Answer
+LineGroup::RunItem(Connection& aConnection,
+                   bool aWrites,
+                   const std::string& aItem,
+                   const std::string& aData)
+{
+  Server& server = servers_[aConnection.server_];
+  const bool plain = aConnection.inside_ && !aConnection.reads_;
+  const bool lost =
+    plain && (!server.primary_ || server.term_ != aConnection.term_);
+  if (lost || (aWrites && (!server.primary_ || aConnection.reads_))) {
+    return { {}, "READONLY", {} };
+  }
+  Answer answer;
+  answer.signature_ = fmt::format("{}.{:x}", server.id_, ++run_);
+  if (aWrites && aConnection.inside_) {
+    aConnection.writes_.emplace_back(aItem, aData);
+  } else if (aWrites) {
+    Commit(server, aItem, aData);
+  } else {
+    const Time now = ReadClock();
+    std::string value;
+    for (const auto& entry : server.log_) {
+      const bool seen = server.primary_ || entry.visibleAt_ <= now;
+      value = seen && entry.item_ == aItem ? entry.data_ : value;
+    }
+    for (const auto& [item, data] : aConnection.writes_) {
+      value = item == aItem ? data : value;
+    }
+    answer.rows_.push_back(value);
+    for (const auto& [name, set] : aConnection.values_) {
+      answer.rows_.push_back(fmt::format("{}={}", name, set));
+    }
+  }
+  return answer;
+}
+
+LineGroup::Answer
+LineGroup::End(Connection& aConnection, bool aCommit)
+{
+  Server& server = servers_[aConnection.server_];
+  const auto writes = std::exchange(aConnection.writes_, {});
+  const bool good = aConnection.inside_ && !aConnection.failed_;
+  const bool lost = !writes.empty() && (!server.primary_ ||
+                                        server.term_ != aConnection.term_);
+  aConnection.inside_ = false;
+  aConnection.failed_ = false;
+  if (!aCommit) {
+    return {};
+  }
+  if (!good) {
+    return { {}, "ABORTED", {} };
+  }
+  if (lost) {
+    return { {}, "READONLY", {} };
+  }
+  for (const auto& [item, data] : writes) {
+    Commit(server, item, data);
+  }
+  Answer answer;
+  answer.signature_ = fmt::format("{}.{:x}", server.id_, ++run_);
+  return answer;
+}
+
+// Replicas that still follow this primary have it at once.
+void
+LineGroup::Commit(Server& aServer, const std::string& aItem, std::string aData)
+{
+  const Entry entry{
+    aServer.term_, aItem, std::move(aData), ReadClock() + config_.lag_
+  };
+  for (auto& server : servers_) {
+    const bool follows =
+      server.up_ && !server.primary_ && server.term_ <= aServer.term_;
+    if (&server == &aServer || follows) {
+      server.log_.push_back(entry);
+    }
+  }
+}
+
+LineGroup::Answer
+LineGroup::Status(const Server& aServer) const
+{
+  const std::uint64_t last = aServer.log_.empty() ? 1 : aServer.log_.back().term_;
+  return { { fmt::format("{} {} {}.{} {} 0 0 {}",
+                         aServer.primary_ ? "primary" : "replica",
+                         aServer.term_,
+                         aServer.primary_ ? aServer.term_ : last,
+                         aServer.log_.size(),
+                         aServer.term_,
+                         aServer.sockets_.size()) },
+           {},
+           {} };
+}
+
+// ---- Heartbeats
+
+std::string
+LineGroup::HeartbeatOf(std::size_t aServer) const
+{
+  const Server& server = servers_[aServer];
+  const auto& address = config_.servers_[aServer];
+  return boost::json::serialize(boost::json::value{
+    { "service", config_.service_ },
+    { "address", fmt::format("{}:{}", address.host_, address.port_) },
+    { "zone", config_.zones_[aServer] },
+    { "version", "v1" },
+    { "slots", 5 },
+    { "state", "ready" },
+    { "coldRemainingMs", 0 },
+    { "dbRole", server.primary_ ? "primary" : "replica" },
+    { "born", 1000 + aServer },
+    { "seqNo", server.sequence_ } });
+}
+
+// Calls one control VM after the other until one acknowledges.
+asio::awaitable<void>
+LineGroup::Announce(std::size_t aServer)
+{
+  Server& server = servers_[aServer];
+  std::size_t next = aServer;
+  while (server.up_) {
+    if (announcing_ && !config_.announceTo_.empty()) {
+      server.sequence_++;
+      const auto& to = config_.announceTo_[next % config_.announceTo_.size()];
+      HttpCaller caller(context_, to.host_, to.port_);
+      // Named, as gcc 12 destroys temporaries of a co_await twice.
+      std::string path = "/Instances.Heartbeat/" + server.id_;
+      std::string body = HeartbeatOf(aServer);
+      const HttpAnswer answer = co_await caller.Call(
+        std::move(path), std::move(body), kAnnounceLimit);
+      next += answer.status_ == 200 ? 0U : 1U;
+    }
+    co_await Sleep(config_.heartbeat_);
+  }
+}
+
+// ---- Promotions
+
+asio::awaitable<HttpReply>
+LineGroup::TakePromotion(HttpCall aCall)
+{
+  HttpReply reply;
+  reply.body_ = "{}";
+  boost::system::error_code error;
+  const auto body = boost::json::parse(aCall.body_, error);
+  const auto* id = !error && body.is_object() ? body.get_object().if_contains("id")
+                                              : nullptr;
+  const auto found =
+    std::find_if(servers_.begin(), servers_.end(), [&](const Server& aServer) {
+      return id != nullptr && id->is_string() && aServer.up_ &&
+             aServer.id_ == std::string_view(id->get_string());
+    });
+  if (aCall.path_ != "/promotion" || found == servers_.end()) {
+    reply.status_ = 409;
+    co_return reply;
+  }
+  asio::co_spawn(context_, Promote(found->id_), asio::detached);
+  co_return reply;
+}
+
+asio::awaitable<void>
+LineGroup::Promote(std::string aId)
+{
+  co_await Sleep(config_.promote_);
+  std::uint64_t term = 0;
+  for (const auto& server : servers_) {
+    term = std::max(term, server.term_);
+  }
+  for (auto& server : servers_) {
+    if (server.id_ == aId && server.up_ && !server.primary_) {
+      server.primary_ = true;
+      server.term_ = term + 1;
+      promotionCount_++;
+    }
+  }
+}
+
+} // namespace jaydoor::tests
--- /dev/null
+++ b/tests/LineGroup.h
@@ -0,0 +1,147 @@
+#pragma once
+
+// One group of stand-in database servers that speak the platform's wire
+// protocol, with the service that promotes one of them: what tests of the
+// adapter need of the outside.
+//
+//   LineGroup group(context, config);
+//   group.Start();          // announces the servers to the control VMs
+//   group.Crash(0);         // its connections break
+//   group.CommitsOf("x");   // values of an item in the primary's log
+//
+// A commit is in the replicas' logs at once and readable there after a lag. A
+// promoted server leads the next term after a while; the former primary goes
+// on until it is told to step down. Not built: limits of slots, the second
+// after which a former primary stops by itself.
+
+#include "daemon/Http.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jaydoor::tests {
+
+struct LineAddress
+{
+  std::string host_;
+  std::uint16_t port_ = 0;
+};
+
+struct LineGroupConfig
+{
+  std::string service_;                // name of the group
+  std::vector<LineAddress> servers_;   // the first one leads at the start
+  std::vector<std::string> zones_;     // of the servers
+  std::vector<LineAddress> announceTo_; // control VMs
+  LineAddress promotions_;             // where the service listens
+  std::size_t connections_ = 40;       // at each server
+  Duration work_ = 1ms;                // of a read, write or commit
+  Duration lag_ = 5ms;                 // before a replica shows a commit
+  Duration promote_ = 100ms;           // until a promotion takes effect
+  Duration heartbeat_ = 200ms;
+};
+
+class LineGroup
+{
+public:
+  LineGroup(boost::asio::io_context& aContext, LineGroupConfig aConfig);
+  ~LineGroup();
+  LineGroup(const LineGroup&) = delete;
+  LineGroup& operator=(const LineGroup&) = delete;
+
+  Expected<bool> Start();
+
+  // Faults; call them on the group's thread.
+  void Crash(std::size_t aServer);
+  void StopAnnouncing() { announcing_ = false; }
+
+  // What happened; call on the group's thread.
+  std::string IdOf(std::size_t aServer) const;
+  std::size_t Primary() const;
+  std::vector<std::string> CommitsOf(const std::string& aItem) const;
+  std::size_t Promotions() const { return promotionCount_; }
+  std::size_t OpenConnections() const;
+  // Values that were set on a connection other than by its own session, or
+  // left behind: none if sessions are kept apart.
+  std::size_t StatementsRun() const { return run_; }
+
+private:
+  struct Entry
+  {
+    std::uint64_t term_ = 0;
+    std::string item_;
+    std::string data_;
+    Time visibleAt_;
+  };
+
+  struct Server
+  {
+    std::string id_;
+    bool up_ = true;
+    bool primary_ = false;
+    std::uint64_t term_ = 1;
+    std::uint64_t sequence_ = 0;
+    std::vector<Entry> log_;
+    std::set<std::shared_ptr<boost::asio::ip::tcp::socket>> sockets_;
+  };
+
+  struct Prepared
+  {
+    bool writes_ = false;
+  };
+
+  struct Connection
+  {
+    std::size_t server_ = 0;
+    bool inside_ = false;
+    bool failed_ = false;
+    bool reads_ = false;     // the transaction
+    std::uint64_t term_ = 0; // of the server at its begin
+    std::vector<std::pair<std::string, std::string>> writes_;
+    std::map<std::string, std::string> values_;
+    std::map<std::string, Prepared> prepared_;
+  };
+
+  struct Answer
+  {
+    std::vector<std::string> rows_;
+    std::string error_;     // code; empty: none
+    std::string signature_; // empty: "-"
+  };
+
+  using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
+  boost::asio::awaitable<void> Accept(std::size_t aServer);
+  boost::asio::awaitable<void> Serve(std::size_t aServer, Socket aSocket);
+  boost::asio::awaitable<void> Announce(std::size_t aServer);
+  boost::asio::awaitable<HttpReply> TakePromotion(HttpCall aCall);
+  boost::asio::awaitable<void> Promote(std::string aId);
+  boost::asio::awaitable<void> Sleep(Duration aTime);
+  std::string Open(std::size_t aServer, std::string_view aFields);
+  boost::asio::awaitable<std::string> Query(Connection& aConnection,
+                                            std::string aFields);
+  Answer Run(Connection& aConnection, std::string_view aText);
+  Answer RunItem(Connection& aConnection,
+                 bool aWrites,
+                 const std::string& aItem,
+                 const std::string& aData);
+  Answer End(Connection& aConnection, bool aCommit);
+  Answer Status(const Server& aServer) const;
+  void Commit(Server& aServer, const std::string& aItem, std::string aData);
+  static std::string PointOf(const Server& aServer, Time aNow);
+  std::string HeartbeatOf(std::size_t aServer) const;
+
+  boost::asio::io_context& context_;
+  LineGroupConfig config_;
+  HttpServer promotions_;
+  std::vector<Server> servers_;
+  std::vector<std::shared_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
+  bool announcing_ = true;
+  std::size_t promotionCount_ = 0;
+  std::size_t run_ = 0;
+};
+
+} // namespace jaydoor::tests
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -336,6 +336,43 @@
     CHECK(desk.gateway_.IsReady());
   }
 
+  SECTION("a VM without leases that reaches few servers is isolated")
+  {
+    Desk desk(800ms);
+    desk.Step(TakeSession{ 1, "all" });
+    desk.Send(1, StatementKind::Read, "q1");
+    desk.Open("server-1");
+    desk.Answer("server-1");
+    for (SessionId id = 2; id <= 12; id++) {
+      desk.Step(TakeSession{ id, "aged" });
+      desk.Send(id, StatementKind::Read, "r" + std::to_string(id));
+    }
+    REQUIRE(desk.opened_.contains("server-2"));
+    REQUIRE(desk.opened_.contains("server-3"));
+    desk.Wait(500ms);
+    CHECK(desk.gateway_.IsReady()); // the primary can be used
+    desk.Wait(700ms);
+    CHECK_FALSE(desk.gateway_.IsReady());
+  }
+
+  SECTION("sessions at rest are closed once the balancer was told twice")
+  {
+    Desk desk;
+    desk.Step(TakeSession{ 1, "all" });
+    CHECK(desk.gateway_.AnswerProbe(desk.now_));
+    desk.Step(TakeGatewayDrain{});
+    CHECK_FALSE(desk.gateway_.AnswerProbe(desk.now_));
+    desk.Wait(200ms);
+    CHECK_FALSE(desk.gateway_.AnswerProbe(desk.now_)); // asked again too soon
+    desk.Wait(600ms);
+    CHECK(desk.Count<CloseSession>() == 0);
+    CHECK_FALSE(desk.gateway_.AnswerProbe(desk.now_));
+    desk.Wait(40ms);
+    CHECK(desk.Count<CloseSession>() == 0);
+    desk.Wait(20ms);
+    CHECK(desk.Count<CloseSession>() == 1);
+  }
+
   SECTION("a statement without a server is refused while a retry still pays")
   {
     Desk desk;
