A VM in touch with the leader stays in rotation during a change of primary

Cause: in a cut zone that held all primaries, the healthy VMs of the other zones called themselves isolated 0.9 s after the cut and answered the balancer no, though the leader was replacing the primaries; a change some 0.3 s longer would have taken them out of rotation.

--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -535,6 +535,7 @@
   WorkId nextWork_ = 1;
   ServerLinkId nextLink_ = 1;
   Time leaseAskedAt_;
+  Time grantedAt_; // the leader last answered
   Time tickedAt_;
   std::optional<Time> drainingSince_;
   std::optional<Time> isolatedSince_; // nothing can be served from here
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -62,6 +62,7 @@
   if (grant.incarnation() != config_.incarnation_) {
     return; // for a former run
   }
+  grantedAt_ = aNow;
   holders_ = std::max<std::size_t>(1, grant.holders());
   const Time askedAt{ Duration(grant.sent_us()) };
   for (const auto& lease : grant.leases()) {
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -15,6 +15,10 @@
 constexpr Duration kHedgeLeast = 120ms;    // twice the longest usual statement
 constexpr int kHedgeTimes = 5;             // the smoothed service time
 constexpr Duration kIsolatedAfter = 300ms; // without any primary to use
+// While the leader answers, it replaces primaries that can't be reached; this
+// is longer than such a change takes.
+constexpr Duration kIsolatedInTouch = 3s;
+constexpr Duration kInTouch = 600ms; // the leader has answered this lately
 constexpr int kProbesMissed = 2;           // then a VM is out of rotation
 constexpr Duration kProbeGap = 700ms;      // between two that count as such
 constexpr Duration kProbeLag = 50ms;       // until the balancer has acted
@@ -114,7 +118,9 @@
     isolatedSince_.reset();
     return;
   }
-  if (!isolatedSince_ && aNow - servingSeenAt_ >= kIsolatedAfter) {
+  const Duration limit =
+    aNow - grantedAt_ < kInTouch ? kIsolatedInTouch : kIsolatedAfter;
+  if (!isolatedSince_ && aNow - servingSeenAt_ >= limit) {
     isolatedSince_ = aNow;
     aOut.push_back(WriteNote{ Event::Isolated,
                               fmt::format("sessions={} waiting={} leases={}",
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -355,6 +355,26 @@
     CHECK_FALSE(desk.gateway_.IsReady());
   }
 
+  SECTION("a VM in touch with the leader waits for another primary")
+  {
+    Desk desk;
+    desk.Step(TakeSession{ 1, "all" });
+    desk.Send(1, StatementKind::Read, "q1");
+    desk.Open("server-1");
+    desk.Answer("server-1");
+    desk.Send(1, StatementKind::Read, "q2");
+    for (int i = 0; i < 10; i++) {
+      desk.Wait(250ms);
+      desk.Grant(60s);
+    }
+    CHECK(desk.gateway_.IsReady());
+    for (int i = 0; i < 6; i++) {
+      desk.Wait(250ms);
+      desk.Grant(60s);
+    }
+    CHECK_FALSE(desk.gateway_.IsReady()); // only this VM can't reach it
+  }
+
   SECTION("sessions at rest are closed once the balancer was told twice")
   {
     Desk desk;
