A suspected primary is tried by those that do not use it; the adapter end to end

Found by the new test of real processes: a primary that had crashed was never replaced while only one of two entry VMs had callers. The idle one did not know, and its silence counted against the other. The leader now names suspected primaries in its grants, and VMs that have not heard from them try them.

tests/line_test.cpp runs 'jaydoord platform' (three control VMs, two entry VMs) against tests/LineGroup, a group of servers that speaks the wire protocol, with its promotions and heartbeats: configuration, sessions on shared connections, transactions, hostile bytes, a crashed primary, SIGHUP, SIGTERM with an open transaction, all control VMs killed and one disk lost. standin/Process starts and ends programs, for Fleet as well.

--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -54,6 +54,9 @@
     RegisterHolder(aHolder, aNow, aOut);
     return;
   }
+  for (auto& database : failover_.ListDoubted(state_, aNow)) {
+    grant->add_doubted(std::move(database));
+  }
   if (aHolder == config_.self_.id()) {
     aOut.push_back(DeliverGrant{ std::move(*grant) });
     return;
--- a/control/Failover.cpp
+++ b/control/Failover.cpp
@@ -226,15 +226,12 @@
   }
 }
 
-// More than half of the VMs that use the primary can't.
-bool
-Failover::IsSuspected(const wire::Database& aDatabase,
-                      const LeaseTable& aLeases,
-                      Time aNow) const
+std::size_t
+Failover::CountSuspecting(const wire::Database& aDatabase, Time aNow) const
 {
   const auto reports = reports_.find(aDatabase.name());
   if (reports == reports_.end()) {
-    return false;
+    return 0;
   }
   std::size_t suspecting = 0;
   for (const auto& [vm, report] : reports->second) {
@@ -244,9 +241,31 @@
                         aNow - report.at_ <= timing_.reportAge_;
     suspecting += counts ? 1U : 0U;
   }
+  return suspecting;
+}
+
+// More than half of the VMs that use the primary can't.
+bool
+Failover::IsSuspected(const wire::Database& aDatabase,
+                      const LeaseTable& aLeases,
+                      Time aNow) const
+{
+  const std::size_t suspecting = CountSuspecting(aDatabase, aNow);
   return suspecting > 0 && suspecting * 2 > aLeases.CountContacts(aNow);
 }
 
+std::vector<DatabaseId>
+Failover::ListDoubted(const ControlState& aState, Time aNow) const
+{
+  std::vector<DatabaseId> doubted;
+  for (const auto& [name, database] : aState.Databases()) {
+    if (CountSuspecting(database, aNow) > 0) {
+      doubted.push_back(name);
+    }
+  }
+  return doubted;
+}
+
 void
 Failover::Start(const wire::Database& aDatabase,
                 bool aPlanned,
--- a/control/Failover.h
+++ b/control/Failover.h
@@ -91,6 +91,10 @@
             LeaseTable& aLeases,
             std::uint64_t aFence,
             Time aNow);
+  // Databases whose primary somebody suspects: the others are to try it, since
+  // those that do not use it now would not find out.
+  std::vector<DatabaseId> ListDoubted(const ControlState& aState,
+                                      Time aNow) const;
   // Forgets what is under way: this VM has just become the leader.
   void Reset();
 
@@ -147,6 +151,7 @@
 
   void Watch(const wire::Database& aDatabase, LeaseTable& aLeases, Time aNow);
   void FindFirst(const wire::Database& aDatabase, Time aNow);
+  std::size_t CountSuspecting(const wire::Database& aDatabase, Time aNow) const;
   bool IsSuspected(const wire::Database& aDatabase,
                    const LeaseTable& aLeases,
                    Time aNow) const;
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -374,6 +374,7 @@
     std::uint64_t revokedBy_ = 0;   // term of the leader that asked for it
     std::optional<Time> releaseBy_; // a revocation waits for running work
     std::set<QueueKey> queue_;
+    Time doubtedAt_;         // the leader said that some VM suspects it
     bool suspected_ = false; // as last reported
     Time reportedAt_;
   };
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -64,6 +64,9 @@
   }
   grantedAt_ = aNow;
   holders_ = std::max<std::size_t>(1, grant.holders());
+  for (const auto& database : grant.doubted()) {
+    groups_[database].doubtedAt_ = aNow;
+  }
   const Time askedAt{ Duration(grant.sent_us()) };
   for (const auto& lease : grant.leases()) {
     Group& group = groups_[lease.database()];
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -18,14 +18,15 @@
 // While the leader answers, it replaces primaries that can't be reached; this
 // is longer than such a change takes.
 constexpr Duration kIsolatedInTouch = 3s;
-constexpr Duration kInTouch = 600ms; // the leader has answered this lately
-constexpr int kProbesMissed = 2;           // then a VM is out of rotation
-constexpr Duration kProbeGap = 700ms;      // between two that count as such
-constexpr Duration kProbeLag = 50ms;       // until the balancer has acted
-constexpr Duration kOpenLimit = 300ms;     // a connection that is being opened
-constexpr Duration kSilentAfter = 300ms;   // a primary that does not answer
-constexpr Duration kReportEvery = 200ms;   // a suspicion
-constexpr Duration kLinkLimit = 4s;        // a statement without any answer
+constexpr Duration kInTouch = 600ms;     // the leader has answered this lately
+constexpr int kProbesMissed = 2;         // then a VM is out of rotation
+constexpr Duration kProbeGap = 700ms;    // between two that count as such
+constexpr Duration kProbeLag = 50ms;     // until the balancer has acted
+constexpr Duration kOpenLimit = 300ms;   // a connection that is being opened
+constexpr Duration kSilentAfter = 300ms; // a primary that does not answer
+constexpr Duration kReportEvery = 200ms; // a suspicion
+constexpr Duration kDoubtHolds = 500ms;  // two grants from the leader
+constexpr Duration kLinkLimit = 4s;      // a statement without any answer
 constexpr Duration kUnwantedLimit = 700ms; // the same, that nobody waits for
 constexpr Duration kSlotLimit = 300ms;     // above a server's queue and work
 // An idle connection is worth less than the room it takes: servers count those
@@ -388,7 +389,9 @@
         return link.state_ != LinkState::Opening && !link.sent_.empty() &&
                aNow - link.sentAt_ > kSilentAfter;
       });
-    const bool silent = waits && aNow - primary->heardAt_ > kSilentAfter;
+    const bool doubted = aNow - group.doubtedAt_ <= kDoubtHolds;
+    const bool silent =
+      (waits || doubted) && aNow - primary->heardAt_ > kSilentAfter;
     const bool mayOpen = primary->opening_ == 0 &&
                          aNow >= primary->blockedUntil_ &&
                          primary->links_.size() <= LinkShare(*primary);
--- a/standin/Fleet.cpp
+++ b/standin/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "standin/Fleet.h"
 
 #include "daemon/Clock.h"
+#include "standin/Process.h"
 
 #include <csignal>
 #include <filesystem>
@@ -25,29 +26,6 @@
 constexpr std::size_t kRelayOffset = 100;  // third part of a relay's address
 constexpr std::size_t kServerOffset = 100; // fourth part of a server's
 
-// Starts a program with its output in a file; it ends with this process.
-pid_t
-Spawn(const std::vector<std::string>& aArguments, const std::string& aLog)
-{
-  std::vector<char*> arguments;
-  arguments.reserve(aArguments.size() + 1);
-  for (const auto& argument : aArguments) {
-    arguments.push_back(const_cast<char*>(argument.c_str()));
-  }
-  arguments.push_back(nullptr);
-  const pid_t child = fork();
-  if (child != 0) {
-    return child;
-  }
-  prctl(PR_SET_PDEATHSIG, SIGKILL);
-  const int log =
-    open(aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  dup2(log, STDOUT_FILENO);
-  dup2(log, STDERR_FILENO);
-  execv(arguments[0], arguments.data());
-  _exit(127);
-}
-
 } // namespace
 
 Fleet::Fleet(FleetConfig aConfig)
--- a/tests/LineGroup.cpp
+++ b/tests/LineGroup.cpp
@@ -46,11 +46,10 @@
 LineGroup::LineGroup(asio::io_context& aContext, LineGroupConfig aConfig)
   : context_(aContext)
   , config_(std::move(aConfig))
-  , promotions_(aContext,
-                HttpLimits{},
-                [this](HttpCall aCall) {
-                  return TakePromotion(std::move(aCall));
-                })
+  , promotions_(
+      aContext,
+      HttpLimits{},
+      [this](HttpCall aCall) { return TakePromotion(std::move(aCall)); })
   , servers_(config_.servers_.size())
 {
   for (std::size_t i = 0; i < servers_.size(); i++) {
@@ -121,8 +120,8 @@
   std::size_t best = 0;
   for (std::size_t i = 0; i < servers_.size(); i++) {
     const bool later = servers_[i].term_ > servers_[best].term_;
-    best = servers_[i].primary_ && (later || !servers_[best].primary_) ? i
-                                                                       : best;
+    best =
+      servers_[i].primary_ && (later || !servers_[best].primary_) ? i : best;
   }
   return best;
 }
@@ -322,8 +321,7 @@
       return { {}, "NOSTMT", {} };
     }
     const std::string item(TakeWord(rest));
-    return RunItem(
-      aConnection, found->second.writes_, item, std::string(rest));
+    return RunItem(aConnection, found->second.writes_, item, std::string(rest));
   }
   if (verb == "PREPARE") {
     const std::string name(TakeWord(rest));
@@ -400,8 +398,8 @@
   Server& server = servers_[aConnection.server_];
   const auto writes = std::exchange(aConnection.writes_, {});
   const bool good = aConnection.inside_ && !aConnection.failed_;
-  const bool lost = !writes.empty() && (!server.primary_ ||
-                                        server.term_ != aConnection.term_);
+  const bool lost =
+    !writes.empty() && (!server.primary_ || server.term_ != aConnection.term_);
   aConnection.inside_ = false;
   aConnection.failed_ = false;
   if (!aCommit) {
@@ -440,7 +438,8 @@
 LineGroup::Answer
 LineGroup::Status(const Server& aServer) const
 {
-  const std::uint64_t last = aServer.log_.empty() ? 1 : aServer.log_.back().term_;
+  const std::uint64_t last =
+    aServer.log_.empty() ? 1 : aServer.log_.back().term_;
   return { { fmt::format("{} {} {}.{} {} 0 0 {}",
                          aServer.primary_ ? "primary" : "replica",
                          aServer.term_,
@@ -486,8 +485,8 @@
       // Named, as gcc 12 destroys temporaries of a co_await twice.
       std::string path = "/Instances.Heartbeat/" + server.id_;
       std::string body = HeartbeatOf(aServer);
-      const HttpAnswer answer = co_await caller.Call(
-        std::move(path), std::move(body), kAnnounceLimit);
+      const HttpAnswer answer =
+        co_await caller.Call(std::move(path), std::move(body), kAnnounceLimit);
       next += answer.status_ == 200 ? 0U : 1U;
     }
     co_await Sleep(config_.heartbeat_);
@@ -503,8 +502,8 @@
   reply.body_ = "{}";
   boost::system::error_code error;
   const auto body = boost::json::parse(aCall.body_, error);
-  const auto* id = !error && body.is_object() ? body.get_object().if_contains("id")
-                                              : nullptr;
+  const auto* id =
+    !error && body.is_object() ? body.get_object().if_contains("id") : nullptr;
   const auto found =
     std::find_if(servers_.begin(), servers_.end(), [&](const Server& aServer) {
       return id != nullptr && id->is_string() && aServer.up_ &&
--- a/tests/LineGroup.h
+++ b/tests/LineGroup.h
@@ -32,15 +32,15 @@
 
 struct LineGroupConfig
 {
-  std::string service_;                // name of the group
-  std::vector<LineAddress> servers_;   // the first one leads at the start
-  std::vector<std::string> zones_;     // of the servers
+  std::string service_;                 // name of the group
+  std::vector<LineAddress> servers_;    // the first one leads at the start
+  std::vector<std::string> zones_;      // of the servers
   std::vector<LineAddress> announceTo_; // control VMs
-  LineAddress promotions_;             // where the service listens
-  std::size_t connections_ = 40;       // at each server
-  Duration work_ = 1ms;                // of a read, write or commit
-  Duration lag_ = 5ms;                 // before a replica shows a commit
-  Duration promote_ = 100ms;           // until a promotion takes effect
+  LineAddress promotions_;              // where the service listens
+  std::size_t connections_ = 40;        // at each server
+  Duration work_ = 1ms;                 // of a read, write or commit
+  Duration lag_ = 5ms;                  // before a replica shows a commit
+  Duration promote_ = 100ms;            // until a promotion takes effect
   Duration heartbeat_ = 200ms;
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -331,9 +331,14 @@
     leader.Grant("vm-a");
     leader.Grant("vm-b");
     leader.failover_.NoteSuspicion("vm-a", MakeSuspicion(true), leader.now_);
+    CHECK(leader.failover_.ListDoubted(leader.log_.state_, leader.now_) ==
+          std::vector<DatabaseId>{ "db" });
     leader.Run(500ms);
     CHECK(leader.promotions_.empty());
     CHECK(leader.revocations_.empty());
+    leader.failover_.NoteSuspicion("vm-a", MakeSuspicion(false), leader.now_);
+    CHECK(
+      leader.failover_.ListDoubted(leader.log_.state_, leader.now_).empty());
   }
 
   SECTION("one that nobody suspects any more stays")
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -375,6 +375,24 @@
     CHECK_FALSE(desk.gateway_.IsReady()); // only this VM can't reach it
   }
 
+  SECTION("a primary that others suspect is tried")
+  {
+    Desk desk;
+    desk.Wait(400ms);
+    CHECK(desk.Count<OpenServerLink>() == 0);
+    wire::LeaseGrant grant;
+    grant.set_sent_us(desk.now_.time_since_epoch().count());
+    grant.set_incarnation(1);
+    grant.add_doubted("db");
+    desk.Step(TakeGrant{ grant });
+    desk.Wait(50ms);
+    CHECK(desk.opened_.contains("server-1"));
+    CHECK(desk.Count<ReportSuspicion>() == 0);
+    desk.Step(ServerLinkLost{ desk.opened_["server-1"], {} });
+    desk.Wait(20ms);
+    CHECK(desk.Count<ReportSuspicion>() == 1);
+  }
+
   SECTION("sessions at rest are closed once the balancer was told twice")
   {
     Desk desk;
--- /dev/null
+++ b/tests/line_test.cpp
@@ -0,0 +1,456 @@
+// The platform's adapter end to end: real processes of `jaydoord platform`,
+// stand-in servers that speak the wire protocol, and no bench.
+
+#include "standin/Process.h"
+#include "tests/LineGroup.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace jaydoor::tests {
+namespace {
+
+namespace asio = boost::asio;
+namespace fs = std::filesystem;
+using Tcp = asio::ip::tcp;
+
+constexpr std::uint16_t kFrontPort = 8784;
+constexpr std::uint16_t kReadyPort = 8785;
+constexpr std::uint16_t kControlPort = 8782;
+constexpr std::uint16_t kServerPort = 9001;
+constexpr std::uint16_t kPromotionPort = 8783;
+constexpr int kFirstPort = 7440;
+constexpr Duration kPatience = 30s; // on a busy machine
+
+// Waits until something holds; false after kPatience.
+template<typename Holds>
+bool
+Await(const Holds& aHolds)
+{
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!aHolds()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(20ms);
+  }
+  return true;
+}
+
+// One caller's session, or raw bytes to any port.
+class Caller
+{
+public:
+  Caller(const std::string& aHost, std::uint16_t aPort)
+    : socket_(context_)
+  {
+    boost::system::error_code error;
+    socket_.connect({ asio::ip::make_address(aHost), aPort }, error);
+    open_ = !error;
+    const timeval limit{ 10, 0 };
+    setsockopt(
+      socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  }
+
+  void Write(const std::string& aBytes)
+  {
+    boost::system::error_code error;
+    asio::write(socket_, asio::buffer(aBytes), error);
+  }
+
+  // The next line without its end; "closed" when the other side has ended.
+  std::string ReadLine()
+  {
+    boost::system::error_code error;
+    const std::size_t size =
+      asio::read_until(socket_, asio::dynamic_buffer(bytes_), "\r\n", error);
+    if (error) {
+      return "closed";
+    }
+    std::string line = bytes_.substr(0, size - 2);
+    bytes_.erase(0, size);
+    return line;
+  }
+
+  // The lines that answer a statement, up to READY.
+  std::vector<std::string> Query(const std::string& aText)
+  {
+    static int number = 0;
+    Write(fmt::format("QUERY {:016x} {}\r\n", ++number, aText));
+    std::vector<std::string> lines;
+    do {
+      lines.push_back(ReadLine());
+    } while (!lines.back().starts_with("READY") && lines.back() != "closed");
+    return lines;
+  }
+
+  bool Open(const std::string& aDatabase)
+  {
+    Write(fmt::format("OPEN {} user\r\n", aDatabase));
+    return open_ && ReadLine().starts_with("READY I");
+  }
+
+private:
+  asio::io_context context_;
+  Tcp::socket socket_;
+  std::string bytes_;
+  bool open_ = false;
+};
+
+bool
+IsDone(const std::vector<std::string>& aLines)
+{
+  return aLines.size() >= 2 &&
+         aLines[aLines.size() - 2].starts_with("COMPLETE");
+}
+
+// Three control VMs, two entry VMs and a group of three servers, each at its
+// own loopback address.
+class Site
+{
+public:
+  Site()
+    : folder_(
+        (fs::temp_directory_path() / fmt::format("jaydoor-line-{}", getpid()))
+          .string())
+    , net_(fmt::format("127.{}", 16 + getpid() % 200))
+  {
+    fs::create_directories(folder_);
+    LineGroupConfig config;
+    config.service_ = "db";
+    for (int i = 1; i <= 3; i++) {
+      config.servers_.push_back({ AddressOf(i, 100), kServerPort });
+      config.zones_.push_back(fmt::format("zone-{}", i));
+      config.announceTo_.push_back({ ControlHost(i), kControlPort });
+    }
+    config.promotions_ = { AddressOf(1, 200), kPromotionPort };
+    group_ = std::make_unique<LineGroup>(context_, std::move(config));
+    const auto started = group_->Start();
+    REQUIRE(started.has_value());
+    thread_ = std::thread([this] { context_.run(); });
+    for (int i = 1; i <= 3; i++) {
+      Start(fmt::format("control-{}", i), true);
+    }
+    for (int i = 1; i <= 2; i++) {
+      Start(fmt::format("entry-{}", i), true);
+    }
+  }
+
+  ~Site()
+  {
+    processes_.clear();
+    asio::post(context_, [this] {
+      group_.reset();
+      context_.stop();
+    });
+    thread_.join();
+    fs::remove_all(folder_);
+  }
+
+  // "control-1" is in zone-1, at an address of its own.
+  void Start(const std::string& aName, bool aFirst)
+  {
+    const bool control = aName.starts_with("control");
+    const int zone = aName.back() - '0';
+    const std::string host = control ? ControlHost(zone) : EntryHost(zone);
+    const std::string path = folder_ + "/" + aName + ".yaml";
+    std::ofstream file(path);
+    file << fmt::format("nodeName: \"{}\"\nzone: \"zone-{}\"\nip: \"{}\"\n"
+                        "internalPortRange: [{}, {}]\nbootstrap: {}\n"
+                        "seeds: [\"{}:{}\", \"{}:{}\", \"{}:{}\"]\n"
+                        "limits: {{maxFds: 1024}}\n"
+                        "faultTolerance: {{machines: 1}}\n"
+                        "bounds: {{graceS: 6}}\n"
+                        "cloudApi: {{address: \"{}:{}\"}}\n",
+                        aName,
+                        zone,
+                        host,
+                        kFirstPort,
+                        kFirstPort + 15,
+                        aFirst,
+                        ControlHost(1),
+                        kControlPort,
+                        ControlHost(2),
+                        kControlPort,
+                        ControlHost(3),
+                        kControlPort,
+                        AddressOf(1, 200),
+                        kPromotionPort);
+    if (control) {
+      file << fmt::format(
+        "listen: {{control: \"{}:{}\"}}\ndataDir: \"{}/{}\"\n",
+        host,
+        kControlPort,
+        folder_,
+        aName);
+    } else {
+      file << fmt::format(
+        "listen: {{front: \"{}:{}\", ready: \"{}:{}\"}}\ndataDir: null\n",
+        host,
+        kFrontPort,
+        host,
+        kReadyPort);
+    }
+    file.close();
+    processes_[aName] = std::make_unique<standin::Process>(
+      std::vector<std::string>{ JAYDOOR_BUILD "/daemon/jaydoord", "platform" },
+      folder_ + "/" + aName + ".log",
+      std::vector<std::string>{ "JAYDOOR_NODE_FILE=" + path });
+  }
+
+  // The disk of a control VM that does not run.
+  void WipeDisk(const std::string& aName) const
+  {
+    fs::remove_all(folder_ + "/" + aName);
+  }
+
+  standin::Process& Get(const std::string& aName)
+  {
+    return *processes_.at(aName);
+  }
+
+  std::string ControlHost(int aZone) const { return AddressOf(aZone, 1); }
+  std::string EntryHost(int aZone) const { return AddressOf(aZone, 2); }
+
+  // A configuration with a database for each kind of route.
+  static std::string WriteConfig(int aVersion, const std::string& aMore = "")
+  {
+    std::string routes;
+    for (const char* kind :
+         { "primary", "read_your_writes", "bounded_staleness" }) {
+      routes += fmt::format(
+        R"({}{{"name":"r-{}","host":"{}","pathPrefix":"/","routeType":"{}",)"
+        R"("timeoutMs":5000,"targetLatencyMs":2000,"priority":1,)"
+        R"("service":"db","maxAttempts":2,"maxStalenessMs":5000}})",
+        routes.empty() ? "" : ",",
+        kind,
+        kind,
+        kind);
+    }
+    return fmt::format(
+      R"({{"version":{},"routes":[{}{}],"services":[{{"name":"db",)"
+      R"("maxConns":40,"syncReplicas":0}}],"limits":{{"txIdleMs":3000}}}})",
+      aVersion,
+      routes,
+      aMore);
+  }
+
+  unsigned Configure(int aZone, const std::string& aBody) const
+  {
+    return CallAndWait(
+             ControlHost(aZone), kControlPort, "/Config.Replace", aBody, 2s, "")
+      .status_;
+  }
+
+  HttpAnswer FetchConfig(int aZone) const
+  {
+    return CallAndWait(
+      ControlHost(aZone), kControlPort, "/Config.Fetch", "", 2s, "");
+  }
+
+  bool IsReady(int aZone) const
+  {
+    return CallAndWait(EntryHost(aZone), kReadyPort, "/readiness", "", 2s, "")
+             .status_ == 200;
+  }
+
+  // Runs on the group's thread.
+  template<typename Read>
+  auto WithGroup(const Read& aRead)
+  {
+    std::promise<decltype(aRead(*group_))> done;
+    asio::post(context_, [&] { done.set_value(aRead(*group_)); });
+    return done.get_future().get();
+  }
+
+  // A whole session that writes one value; true if it was acknowledged.
+  bool Write(int aZone, const std::string& aItem, const std::string& aData)
+  {
+    Caller caller(EntryHost(aZone), kFrontPort);
+    return caller.Open("primary") &&
+           IsDone(caller.Query(fmt::format("WRITE {} {}", aItem, aData)));
+  }
+
+private:
+  std::string AddressOf(int aZone, int aNumber) const
+  {
+    return fmt::format("{}.{}.{}", net_, aZone, aNumber);
+  }
+
+  std::string folder_;
+  std::string net_;
+  asio::io_context context_{ 1 };
+  std::unique_ptr<LineGroup> group_;
+  std::thread thread_;
+  std::map<std::string, std::unique_ptr<standin::Process>> processes_;
+};
+
+} // namespace
+
+TEST_CASE("A site on the platform, end to end")
+{
+  Site site;
+  REQUIRE(
+    Await([&] { return site.Configure(1, Site::WriteConfig(3)) == 200; }));
+  REQUIRE(Await([&] { return site.IsReady(1) && site.IsReady(2); }));
+  REQUIRE(Await([&] { return site.Write(1, "first", "1"); }));
+
+  SECTION("the operators' configuration")
+  {
+    CHECK(site.Configure(2, "{\"version\":4,\"routes\":[") == 400);
+    CHECK(site.Configure(2, Site::WriteConfig(2)) == 200); // overtaken
+    REQUIRE(
+      Await([&] { return site.Configure(3, Site::WriteConfig(7)) == 200; }));
+    for (int zone = 1; zone <= 3; zone++) {
+      REQUIRE(Await([&] { return site.FetchConfig(zone).status_ == 200; }));
+      CHECK(site.FetchConfig(zone).body_ == Site::WriteConfig(7));
+    }
+  }
+
+  SECTION("sessions are kept apart on shared connections")
+  {
+    Caller one(site.EntryHost(1), kFrontPort);
+    Caller two(site.EntryHost(1), kFrontPort);
+    REQUIRE(one.Open("read_your_writes"));
+    REQUIRE(two.Open("read_your_writes"));
+    CHECK(IsDone(one.Query("SET colour red")));
+    CHECK(IsDone(one.Query("PREPARE p WRITE shape")));
+    CHECK(IsDone(two.Query("PREPARE p READ shape")));
+    CHECK(IsDone(one.Query("EXECUTE p key value")));
+    for (int i = 0; i < 5; i++) {
+      const auto own = one.Query("READ key");
+      REQUIRE(own.size() == 4);
+      CHECK(own[0] == "ROW value");
+      CHECK(own[1] == "ROW colour=red");
+      const auto other = two.Query("EXECUTE p first");
+      REQUIRE(other.size() == 3);
+      CHECK(other[0] == "ROW 1");
+    }
+    CHECK(one.Query("EXECUTE q key")[0].starts_with("ERROR NOSTMT"));
+  }
+
+  SECTION("transactions are kept whole or not at all")
+  {
+    Caller caller(site.EntryHost(2), kFrontPort);
+    REQUIRE(caller.Open("primary"));
+    CHECK(IsDone(caller.Query("BEGIN")));
+    CHECK(IsDone(caller.Query("WRITE t kept")));
+    std::this_thread::sleep_for(100ms);
+    CHECK(caller.Query("READ t")[0] == "ROW kept");
+    CHECK(IsDone(caller.Query("COMMIT")));
+    CHECK(IsDone(caller.Query("BEGIN")));
+    CHECK(IsDone(caller.Query("WRITE t dropped")));
+    CHECK(caller.Query("ROLLBACK").back() == "READY I -");
+    {
+      Caller leaves(site.EntryHost(2), kFrontPort);
+      REQUIRE(leaves.Open("primary"));
+      CHECK(IsDone(leaves.Query("BEGIN")));
+      CHECK(IsDone(leaves.Query("WRITE t abandoned")));
+    }
+    CHECK(caller.Query("READ t")[0] == "ROW kept");
+    CHECK(site.WithGroup([](auto& aGroup) { return aGroup.CommitsOf("t"); }) ==
+          std::vector<std::string>{ "kept" });
+  }
+
+  SECTION("what can't be understood ends in an error or a close")
+  {
+    Caller unknown(site.EntryHost(1), kFrontPort);
+    unknown.Write("OPEN nowhere user\r\n");
+    CHECK(unknown.ReadLine().starts_with("ERROR NODB"));
+    CHECK(unknown.ReadLine() == "closed");
+    Caller malformed(site.EntryHost(1), kFrontPort);
+    REQUIRE(malformed.Open("primary"));
+    CHECK(malformed.Query("DANCE")[0].starts_with("ERROR MALFORMED"));
+    Caller large(site.EntryHost(1), kFrontPort);
+    REQUIRE(large.Open("primary"));
+    large.Write("QUERY 1 WRITE k " + std::string(3'000'000, 'x') + "\r\n");
+    while (large.ReadLine() != "closed") {
+    }
+    for (const auto port : { kFrontPort, kReadyPort }) {
+      Caller(site.EntryHost(1), port).Write(std::string(5000, '\xff'));
+      Caller(site.EntryHost(1), port).Write("GET / HTTP/1.1\r\nX");
+    }
+    for (const int port : { int(kControlPort), kFirstPort, kFirstPort + 1 }) {
+      Caller(site.ControlHost(1), static_cast<std::uint16_t>(port))
+        .Write(std::string(5000, '\xff'));
+    }
+    CHECK(site.Write(1, "after", "1"));
+    CHECK(site.FetchConfig(1).status_ == 200);
+  }
+
+  SECTION("a crashed primary is replaced, and nothing acknowledged is lost")
+  {
+    REQUIRE(site.Write(1, "k", "before"));
+    std::this_thread::sleep_for(50ms);
+    const auto former = site.WithGroup([](auto& aGroup) {
+      const std::size_t primary = aGroup.Primary();
+      aGroup.Crash(primary);
+      return primary;
+    });
+    REQUIRE(Await([&] { return site.Write(2, "k", "after"); }));
+    const auto commits =
+      site.WithGroup([](auto& aGroup) { return aGroup.CommitsOf("k"); });
+    CHECK(commits.front() == "before");
+    CHECK(std::count(commits.begin(), commits.end(), "after") >= 1);
+    CHECK(site.WithGroup([](auto& aGroup) { return aGroup.Primary(); }) !=
+          former);
+  }
+
+  SECTION("SIGHUP with a bad file changes nothing")
+  {
+    site.Get("entry-1").Signal(SIGHUP);
+    std::this_thread::sleep_for(100ms);
+    CHECK(site.Write(1, "hup", "1"));
+  }
+
+  SECTION("a VM that is told to stop finishes what it has")
+  {
+    Caller rests(site.EntryHost(1), kFrontPort);
+    REQUIRE(rests.Open("primary"));
+    Caller inside(site.EntryHost(1), kFrontPort);
+    REQUIRE(inside.Open("primary"));
+    CHECK(IsDone(inside.Query("BEGIN")));
+    CHECK(IsDone(inside.Query("WRITE s one")));
+    site.Get("entry-1").Signal(SIGTERM);
+    std::this_thread::sleep_for(300ms);
+    CHECK_FALSE(site.IsReady(1));
+    CHECK(IsDone(inside.Query("WRITE s two")));
+    CHECK(IsDone(inside.Query("COMMIT")));
+    CHECK(rests.ReadLine() == "closed");
+    CHECK(inside.ReadLine() == "closed");
+    CHECK(site.Get("entry-1").WaitForEnd(kPatience) == 0);
+    CHECK(site.WithGroup([](auto& aGroup) { return aGroup.CommitsOf("s"); }) ==
+          std::vector<std::string>{ "one", "two" });
+  }
+
+  SECTION("all control VMs killed, one disk lost: the configuration is there")
+  {
+    for (int zone = 1; zone <= 3; zone++) {
+      site.Get(fmt::format("control-{}", zone)).Signal(SIGKILL);
+      site.Get(fmt::format("control-{}", zone)).WaitForEnd(kPatience);
+    }
+    site.WipeDisk("control-2");
+    for (int zone = 1; zone <= 3; zone++) {
+      site.Start(fmt::format("control-{}", zone), false);
+    }
+    for (int zone = 1; zone <= 3; zone++) {
+      REQUIRE(Await([&] { return site.FetchConfig(zone).status_ == 200; }));
+      CHECK(site.FetchConfig(zone).body_ == Site::WriteConfig(3));
+    }
+    REQUIRE(Await([&] { return site.Write(2, "again", "1"); }));
+  }
+}
+
+} // namespace jaydoor::tests
