--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -57,8 +57,9 @@
     raft_.emplace(
       config_.self_.voter(), config_.raft_, config_.seed_, std::move(*aDisk));
     published_ = state_.Index();
-    // The settings may name VMs that are gone, or none.
-    membership_.AddSeeds(ListStoredVms());
+    for (const auto& voter : raft_->Voters().voters()) {
+      AddStoredVm(VmOfVoter(voter));
+    }
   }
 }
 
@@ -85,27 +86,18 @@
   membership_.AddSeeds(std::move(aSeeds));
 }
 
-std::vector<wire::Vm>
-ControlNode::ListStoredVms() const
+// The settings may name VMs that are gone, or none: those that the control
+// state names are tried as well.
+void
+ControlNode::AddStoredVm(const VmId& aVm)
 {
-  std::set<VmId> ids;
-  if (config_.idsAreHosts_ && raft_) {
-    for (const auto& voter : raft_->Voters().voters()) {
-      ids.insert(VmOfVoter(voter));
-    }
-    for (const auto& [holder, zone] : state_.Holders()) {
-      ids.insert(holder);
-    }
-  }
-  ids.erase(config_.self_.id());
-  std::vector<wire::Vm> vms;
-  for (const auto& id : ids) {
-    wire::Vm& vm = vms.emplace_back();
-    vm.set_id(id);
-    vm.set_host(id);
+  if (config_.idsAreHosts_ && aVm != config_.self_.id()) {
+    wire::Vm vm;
+    vm.set_id(aVm);
+    vm.set_host(aVm);
     vm.set_control_port(config_.self_.control_port());
+    membership_.AddSeeds({ std::move(vm) });
   }
-  return vms;
 }
 
 VmId
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -211,9 +211,6 @@
 
   // Other VMs to join through; those that are known stay.
   void AddSeeds(std::vector<wire::Vm> aSeeds);
-  // Those that the disk names: voters, and VMs that hold leases. Only where
-  // ids are hosts; elsewhere nothing tells how to reach them.
-  std::vector<wire::Vm> ListStoredVms() const;
 
   const ControlState& State() const { return state_; }
   const Membership& Members() const { return membership_; }
@@ -317,6 +314,7 @@
   void TakeIndexReply(const VmId& aFrom,
                       const wire::IndexReply& aReply,
                       ControlActions& aOut);
+  void AddStoredVm(const VmId& aVm);
   void AskDelta(const VmId& aFrom, ControlActions& aOut);
   void NoteLeader(const VoterId& aLeader);
   void TakeDelta(const VmId& aFrom,
@@ -357,6 +355,7 @@
   Time startedAt_;
   bool leasesReset_ = false; // with all that earlier leaders have committed
   std::map<VmId, Time> registeredAt_;
+  Time grantHeardAt_;               // as a holder
   std::map<VmId, Time> holderSeen_; // while this VM is the leader
   Time sizeAt_;
   std::map<VoterId, Time> voterSeen_;    // while this VM is the leader
--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kRegisterEvery = 100ms;
+// Without a grant for so long there may be another leader: all are asked.
+constexpr Duration kGrantSilent = 350ms;
 constexpr Duration kHolderGoneAfter = 30s; // longer than any lease
 
 } // namespace
@@ -24,7 +26,11 @@
   }
   wire::ControlMessage message;
   *message.mutable_lease_request() = std::move(aEvent.request_);
-  SendToLeader(message, aOut);
+  if (aNow - grantHeardAt_ >= kGrantSilent) {
+    SendToVoters(message, aOut);
+  } else {
+    SendToLeader(message, aOut);
+  }
 }
 
 void
@@ -106,7 +112,10 @@
     Time& seen = holderSeen_.try_emplace(vm, aNow).first->second;
     if (membership_.IsAlive(vm)) {
       seen = aNow;
-    } else if (aNow - seen >= kHolderGoneAfter) {
+      continue;
+    }
+    AddStoredVm(vm);
+    if (aNow - seen >= kHolderGoneAfter) {
       seen = aNow;
       wire::Change change;
       change.mutable_holder()->set_vm(vm);
@@ -157,6 +166,7 @@
       TickPromoter(aNow, aOut);
       return true;
     case wire::ControlMessage::kLeaseGrant:
+      grantHeardAt_ = aNow;
       aOut.push_back(DeliverGrant{ aMessage.lease_grant() });
       return true;
     case wire::ControlMessage::kLeaseRevoke:
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -150,7 +150,6 @@
     wasLeader_ = raft_->IsLeader();
     promoter_.Reset();
     failover_.Reset();
-    leases_.Reset(state_, raft_->Term(), aNow);
     leasesReset_ = false;
     proposedDocument_ = 0;
     voterSeen_.clear();
--- a/control/LeaseTable.h
+++ b/control/LeaseTable.h
@@ -31,7 +31,7 @@
 
 struct LeaseTiming
 {
-  Duration inZone_ = 1200ms;  // outlasts an election
+  Duration inZone_ = 1s;      // outlasts an election
   Duration acrossZones_ = 7s; // outlasts the usual loss of the control VMs
   Duration margin_ = 50ms;    // for clocks that run at different rates
   Duration contact_ = 700ms;  // a holder that asked this lately is reachable
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -111,9 +112,6 @@
     for (const auto& peer : settings_.peers_) {
       SetPeer(peer);
     }
-    for (const auto& vm : node_->ListStoredVms()) {
-      SetPeer(vm);
-    }
     const auto bound = link_.Bind(settings_.controlPort_);
     if (!bound) {
       return bound;
@@ -178,6 +176,9 @@
 
   void Perform(SendVm& aAction)
   {
+    if (settings_.idsAreHosts_ && reached_.insert(aAction.to_).second) {
+      link_.SetPeer(aAction.to_, aAction.to_, settings_.controlPort_);
+    }
     link_.Send(aAction.to_, aAction.message_.SerializeAsString());
   }
 
@@ -504,6 +505,7 @@
   std::map<std::uint64_t, PendingPtr> operators_;
   std::map<std::uint64_t, PendingDocumentPtr> documents_;
   std::uint64_t nextOperator_ = 1;
+  std::set<VmId> reached_; // where ids are hosts: VMs that were sent to
 };
 
 ControlShell::ControlShell(const Settings& aSettings,
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -369,7 +369,8 @@
     std::vector<ServerId> servers_;
     GroupLog log_;
     Lease lease_;
-    Time releasedAt_; // grants asked for earlier are void
+    bool holds_ = false; // as last noted
+    Time releasedAt_;    // grants asked for earlier are void
     std::uint64_t releasedTerm_ = 0;
     std::uint64_t revokedBy_ = 0;   // term of the leader that asked for it
     std::optional<Time> releaseBy_; // a revocation waits for running work
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -12,7 +12,7 @@
 namespace jaydoor {
 namespace {
 
-constexpr Duration kAskEvery = 250ms;    // far below a lease's length
+constexpr Duration kAskEvery = 150ms;    // far below a lease's length
 constexpr Duration kAskSoon = 50ms;      // while a primary has no lease
 constexpr Duration kReleaseWait = 250ms; // running statements may finish
 constexpr Duration kLeaseMargin = 20ms;  // from a check to what it allows
@@ -41,7 +41,18 @@
 {
   bool missing = false;
   for (auto& [name, group] : groups_) {
-    missing |= !group.servers_.empty() && !HoldsLease(group, group.term_, aNow);
+    const bool holds = HoldsLease(group, group.term_, aNow);
+    missing |= !group.servers_.empty() && !holds;
+    if (group.holds_ && !holds && !group.changing_) {
+      aOut.push_back(WriteNote{ Event::LeaseLost,
+                                fmt::format("database={} server={} term={} "
+                                            "granted_ms={}",
+                                            name,
+                                            group.lease_.server_,
+                                            group.lease_.term_,
+                                            CountMs(aNow - grantedAt_)) });
+    }
+    group.holds_ = holds;
     if (group.releaseBy_ && aNow >= *group.releaseBy_) {
       FinishRelease(name, aNow, aOut);
     }
@@ -163,6 +174,7 @@
 {
   Group& group = groups_.at(aGroup);
   group.releaseBy_.reset();
+  group.holds_ = false;
   group.releasedAt_ = aNow;
   wire::LeaseRelease release;
   release.set_incarnation(config_.incarnation_);
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -171,6 +171,7 @@
     group.changing_ = view_->changing_.contains(name);
     if (group.term_ != database.term_) {
       group.term_ = database.term_;
+      group.holds_ = false;
       group.log_.SetTerm(database.term_);
       EndLeasedTransactions(name, aNow, aOut);
     }
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -93,12 +93,10 @@
   config.mayFound_ = first;
   config.outsidePromotion_ = true;
   config.idsAreHosts_ = true;
-  vm.peers_.clear();
   for (const auto& [id, other] : vms_) {
     if (other.votes_ && (first || namesSeeds_)) {
       config.seeds_.push_back(other.info_);
       config.voterVms_.push_back(id);
-      vm.peers_.insert(id);
     }
     links_.erase({ aVm, id });
     Queue& from = links_[{ id, aVm }];
@@ -115,9 +113,6 @@
   }
   config.self_ = vm.info_;
   vm.node_ = std::make_unique<ControlNode>(config, std::move(disk));
-  for (const auto& other : vm.node_->ListStoredVms()) {
-    vm.peers_.insert(other.id());
-  }
   const std::uint64_t life = vm.life_;
   At(now_, [this, aVm, life] { Tick(aVm, life); });
   if (!vm.votes_) {
@@ -222,12 +217,7 @@
 {
   const VmId id = aVm.info_.id();
   if (auto* send = std::get_if<SendVm>(&aAction)) {
-    for (const auto& member : aVm.node_->Members().LiveVms()) {
-      aVm.peers_.insert(member.id());
-    }
-    if (aVm.peers_.contains(send->to_)) {
-      Send(id, send->to_, std::move(send->message_));
-    }
+    Send(id, send->to_, std::move(send->message_));
   } else if (auto* answer = std::get_if<AnswerDocument>(&aAction)) {
     const auto found = stores_.find(answer->operator_);
     if (answer->stored_ && found != stores_.end()) {
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -57,7 +57,6 @@
     std::uint64_t disk_ = 0; // number of its disk
     Time upSince_;
     RaftDisk saved_;
-    std::set<VmId> peers_; // it knows how to reach them
     std::unique_ptr<ControlNode> node_;
   };
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -393,6 +393,18 @@
     CHECK(desk.Count<ReportSuspicion>() == 1);
   }
 
+  SECTION("a lease that runs out is told once")
+  {
+    Desk desk(200ms);
+    desk.Wait(400ms);
+    const auto lost = std::count_if(
+      desk.actions_.begin(), desk.actions_.end(), [](auto& aAction) {
+        const auto* note = std::get_if<WriteNote>(&aAction);
+        return note != nullptr && note->event_ == Event::LeaseLost;
+      });
+    CHECK(lost == 1);
+  }
+
   SECTION("sessions at rest are closed once the balancer was told twice")
   {
     Desk desk;
