--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -16,16 +16,18 @@
 
 } // namespace
 
-VoterWorld::VoterWorld(std::uint64_t aSeed)
-  : random_(aSeed)
+VoterWorld::VoterWorld(std::uint64_t aSeed, std::size_t aDisks)
+  : disks_(aDisks)
+  , random_(aSeed)
 {
-  for (std::size_t i = 0; i < 5; i++) {
+  for (std::size_t i = 0; i < disks_ + 2; i++) {
     Vm vm;
     vm.info_.set_id(fmt::format("10.0.0.{}", i + 1));
     vm.info_.set_host(vm.info_.id());
     vm.info_.set_zone(kZones[i % 3]);
     vm.info_.set_control_port(1);
-    vm.votes_ = i < 3;
+    vm.votes_ = i < disks_;
+    vm.seed_ = i < 3;
     vms_[vm.info_.id()] = std::move(vm);
   }
   for (auto& [id, vm] : vms_) {
@@ -71,6 +73,22 @@
     "{} ms: {}", CountMs(now_.time_since_epoch()) - 1'000'000, aWhat));
 }
 
+std::vector<VmId>
+VoterWorld::Voters() const
+{
+  for (const auto& [id, vm] : vms_) {
+    if (vm.up_ && vm.votes_) {
+      std::vector<VmId> voters;
+      for (const auto& voter : vm.node_->Consensus()->Voters().voters()) {
+        voters.push_back(VmOfVoter(voter));
+      }
+      std::sort(voters.begin(), voters.end());
+      return voters;
+    }
+  }
+  return {};
+}
+
 // ---- VMs
 
 void
@@ -89,12 +107,12 @@
   const bool first = vm.life_ == 1;
   ControlConfig config;
   config.seed_ = random_();
-  config.voterCount_ = 3;
+  config.voterCount_ = disks_;
   config.mayFound_ = first;
   config.outsidePromotion_ = true;
   config.idsAreHosts_ = true;
   for (const auto& [id, other] : vms_) {
-    if (other.votes_ && (first || namesSeeds_)) {
+    if (other.seed_ && (first || namesSeeds_)) {
       config.seeds_.push_back(other.info_);
       config.voterVms_.push_back(id);
     }
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -27,7 +27,8 @@
 class VoterWorld
 {
 public:
-  explicit VoterWorld(std::uint64_t aSeed);
+  // `aDisks`: VMs with a data folder, three of them seeds; all are to vote.
+  explicit VoterWorld(std::uint64_t aSeed, std::size_t aDisks = 3);
 
   void Run(Duration aTime);
   void StopFaults() { faults_ = false; }
@@ -44,13 +45,16 @@
   // Every node that is up can read the newest configuration now.
   void CheckServing();
   const std::vector<std::string>& Failures() const { return failures_; }
+  // As the first node that votes knows them.
+  std::vector<VmId> Voters() const;
   std::size_t Stored() const { return storedCount_; }
 
 private:
   struct Vm
   {
     wire::Vm info_;
-    bool votes_ = false;
+    bool votes_ = false; // has a data folder
+    bool seed_ = false;
     bool up_ = false;
     Time frozenUntil_;
     std::uint64_t life_ = 0; // starts so far
@@ -88,6 +92,7 @@
   VmId AnyVm(bool aVoter);
   Duration Between(Duration aLeast, Duration aMost);
 
+  std::size_t disks_ = 3;
   std::mt19937_64 random_;
   Time now_{ 1000s };
   std::uint64_t order_ = 0;
--- a/tests/voter_test.cpp
+++ b/tests/voter_test.cpp
@@ -62,6 +62,28 @@
   CHECK(world.Failures().empty());
 }
 
+TEST_CASE("Five voters in three zones")
+{
+  for (std::uint64_t seed = 1; seed <= 10; seed++) {
+    VoterWorld world(seed, 5);
+    world.StopFaults();
+    world.Run(10s);
+    INFO("seed " << seed);
+    // The three seeds founded it, and two more joined.
+    REQUIRE(world.Voters().size() == 5);
+    world.RestartAll(1s);
+    world.Wipe("10.0.0.1");
+    world.Wipe("10.0.0.5");
+    world.Run(10s);
+    world.CheckServing();
+    for (const auto& failure : world.Failures()) {
+      UNSCOPED_INFO(failure);
+    }
+    CHECK(world.Failures().empty());
+    CHECK(world.Voters().size() == 5);
+  }
+}
+
 TEST_CASE("A start without seeds")
 {
   SECTION("voters find each other and the others by their disks")
