--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -16,7 +16,9 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <fcntl.h>
 #include <fmt/format.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace jaydoor::tests {
@@ -156,6 +158,9 @@
       context_.stop();
     });
     thread_.join();
+    if (unread_ >= 0) {
+      close(unread_);
+    }
     fs::remove_all(folder_);
   }
 
@@ -210,6 +215,16 @@
       std::vector<std::string>{ "JAYDOOR_NODE_FILE=" + path });
   }
 
+  // Starts a VM that was ended with a log that nobody reads.
+  void StartUnread(const std::string& aName)
+  {
+    const std::string path = folder_ + "/" + aName + ".log";
+    fs::remove(path);
+    REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+    unread_ = open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    Start(aName, false);
+  }
+
   // The disk of a control VM that does not run.
   void WipeDisk(const std::string& aName) const
   {
@@ -260,6 +275,12 @@
       ControlHost(aZone), kControlPort, "/Config.Fetch", "", 2s, "");
   }
 
+  std::string FetchMetrics(int aZone) const
+  {
+    return CallAndWait(EntryHost(aZone), kFirstPort + 1, "/metrics", "", 2s, "")
+      .body_;
+  }
+
   bool IsReady(int aZone) const
   {
     return CallAndWait(EntryHost(aZone), kReadyPort, "/readiness", "", 2s, "")
@@ -291,6 +312,7 @@
 
   std::string folder_;
   std::string net_;
+  int unread_ = -1; // the end of a log at which nobody reads
   asio::io_context context_{ 1 };
   std::unique_ptr<LineGroup> group_;
   std::thread thread_;
@@ -435,6 +457,31 @@
           std::vector<std::string>{ "one", "two" });
   }
 
+  SECTION("a log that nobody reads costs no statement")
+  {
+    site.Get("entry-1").Signal(SIGKILL);
+    site.Get("entry-1").WaitForEnd(kPatience);
+    site.StartUnread("entry-1");
+    REQUIRE(Await([&] { return site.IsReady(1); }));
+    REQUIRE(Await([&] { return site.Write(1, "log", "1"); }));
+    Caller caller(site.EntryHost(1), kFrontPort);
+    REQUIRE(caller.Open("read_your_writes"));
+    const auto dropped = [&] {
+      const std::string text = site.FetchMetrics(1);
+      const std::string name = "\njaydoor_log_lines_dropped_total ";
+      const std::size_t at = text.find(name);
+      return at == std::string::npos ? -1
+                                     : std::stoi(text.substr(at + name.size()));
+    };
+    REQUIRE(Await([&] {
+      for (int i = 0; i < 100; i++) {
+        REQUIRE(IsDone(caller.Query("READ log")));
+      }
+      return dropped() > 0;
+    }));
+    CHECK(IsDone(caller.Query("READ log")));
+  }
+
   SECTION("all control VMs killed, one disk lost: the configuration is there")
   {
     for (int zone = 1; zone <= 3; zone++) {
