--- a/tests/SessionWorld.cpp
+++ b/tests/SessionWorld.cpp
@@ -48,7 +48,8 @@
 } // namespace
 
 SessionWorld::SessionWorld(SessionWorldConfig aConfig)
-  : config_(aConfig)
+  : Timeline(Time(1000s))
+  , config_(aConfig)
   , random_(aConfig.seed_)
   , servers_(kServers)
 {
@@ -95,36 +96,15 @@
       callers_.push_back(caller);
       StepGateway(i, TakeSession{ caller.session_, caller.database_ });
       const std::size_t index = callers_.size() - 1;
-      At(Duration(random_() % 50'000), [this, index] { Act(index); });
+      After(Duration(random_() % 50'000), [this, index] { Act(index); });
     }
   }
-  At(1ms, [this] { Replicate(); });
+  After(1ms, [this] { Replicate(); });
   if (config_.faults_) {
-    At(300ms, [this] { Disturb(); });
+    After(300ms, [this] { Disturb(); });
   }
 }
 
-// ---- Time
-
-void
-SessionWorld::At(Duration aDelay, Task aTask)
-{
-  tasks_[{ now_ + aDelay, sequence_++ }] = std::move(aTask);
-}
-
-void
-SessionWorld::Run(Duration aTime)
-{
-  const Time end = now_ + aTime;
-  while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
-    now_ = tasks_.begin()->first.first;
-    const Task task = std::move(tasks_.begin()->second);
-    tasks_.erase(tasks_.begin());
-    task();
-  }
-  now_ = end;
-}
-
 void
 SessionWorld::Check(bool aHolds, const std::string& aWhat)
 {
@@ -141,8 +121,9 @@
 {
   if (now_ < frozenUntil_[aGateway]) {
     auto event = std::make_shared<GatewayEvent>(std::move(aEvent));
-    At(frozenUntil_[aGateway] - now_,
-       [this, aGateway, event] { StepGateway(aGateway, std::move(*event)); });
+    After(frozenUntil_[aGateway] - now_, [this, aGateway, event] {
+      StepGateway(aGateway, std::move(*event));
+    });
     return;
   }
   GatewayActions actions;
@@ -156,7 +137,7 @@
 SessionWorld::TickGateway(std::size_t aGateway)
 {
   StepGateway(aGateway, TakeGatewayTick{});
-  At(10ms, [this, aGateway] { TickGateway(aGateway); });
+  After(10ms, [this, aGateway] { TickGateway(aGateway); });
 }
 
 void
@@ -164,7 +145,7 @@
 {
   const FleetViewPtr view = BuildFleetView(state_, {}, true);
   for (std::size_t i = 0; i < gateways_.size(); i++) {
-    At(kNetDelay * (1 + random_() % 20), [this, i, view] {
+    After(kNetDelay * (1 + random_() % 20), [this, i, view] {
       StepGateway(i, TakeFleet{ view, MakeCatalog() });
     });
   }
@@ -185,8 +166,9 @@
   if (!grant) {
     return;
   }
-  At(kNetDelay * (1 + random_() % 30),
-     [this, aGateway, grant] { StepGateway(aGateway, TakeGrant{ *grant }); });
+  After(kNetDelay * (1 + random_() % 30), [this, aGateway, grant] {
+    StepGateway(aGateway, TakeGrant{ *grant });
+  });
 }
 
 void
@@ -205,7 +187,7 @@
     while (ServerName(server) != open->server_) {
       server++;
     }
-    At(kConnectDelay, [this, key, server] {
+    After(kConnectDelay, [this, key, server] {
       if (servers_[server].up_) {
         connections_[key].server_ = server;
         connections_[key].gateway_ = key.first;
@@ -216,18 +198,18 @@
     });
   } else if (auto* send = std::get_if<SendServerLink>(&aAction)) {
     const ConnectionKey key{ aGateway, send->link_ };
-    At(kNetDelay, [this, key, command = std::move(send->command_)] {
+    After(kNetDelay, [this, key, command = std::move(send->command_)] {
       Receive(key, command);
     });
   } else if (auto* close = std::get_if<CloseServerLink>(&aAction)) {
     const ConnectionKey key{ aGateway, close->link_ };
-    At(kNetDelay, [this, key] { connections_.erase(key); });
+    After(kNetDelay, [this, key] { connections_.erase(key); });
   } else if (auto* request = std::get_if<SendLeaseRequest>(&aAction)) {
-    At(kNetDelay, [this, aGateway, request = request->request_] {
+    After(kNetDelay, [this, aGateway, request = request->request_] {
       Grant(aGateway, request);
     });
   } else if (auto* release = std::get_if<SendLeaseRelease>(&aAction)) {
-    At(kNetDelay, [this, aGateway, release = release->release_] {
+    After(kNetDelay, [this, aGateway, release = release->release_] {
       leases_.Release(fmt::format("vm-{}", aGateway), release);
     });
   }
@@ -261,7 +243,7 @@
     kind == CommandKind::Forward || kind == CommandKind::Execute;
   connection.busy_ = true;
   if (works && server.running_ >= config_.slots_) {
-    At(1ms, [this, aKey] {
+    After(1ms, [this, aKey] {
       if (const auto at = connections_.find(aKey); at != connections_.end()) {
         at->second.busy_ = false;
         RunNext(aKey);
@@ -274,7 +256,7 @@
   const std::uint64_t run = server.run_;
   const Duration time =
     works ? config_.work_ + Duration(random_() % 4000) : Duration(50);
-  At(time, [this, aKey, index, run, works] {
+  After(time, [this, aKey, index, run, works] {
     if (servers_[index].run_ != run) {
       return;
     }
@@ -299,7 +281,7 @@
 void
 SessionWorld::AnswerLink(ConnectionKey aKey, ServerAnswer aAnswer)
 {
-  At(kNetDelay, [this, aKey, answer = std::move(aAnswer)] {
+  After(kNetDelay, [this, aKey, answer = std::move(aAnswer)] {
     if (connections_.contains(aKey)) {
       StepGateway(aKey.first, ServerLinkAnswered{ aKey.second, answer });
     }
@@ -511,7 +493,7 @@
       }
     }
   }
-  At(config_.lag_, [this] { Replicate(); });
+  After(config_.lag_, [this] { Replicate(); });
 }
 
 void
@@ -574,8 +556,8 @@
   lease.set_term(servers_[old].term_);
   Apply(std::move(intent));
   for (std::size_t i = 0; i < gateways_.size(); i++) {
-    At(kNetDelay,
-       [this, i, revoke] { StepGateway(i, TakeRevocation{ revoke }); });
+    After(kNetDelay,
+          [this, i, revoke] { StepGateway(i, TakeRevocation{ revoke }); });
   }
   if (aStepDown && servers_[old].up_) {
     servers_[old].primary_ = false;
@@ -587,10 +569,10 @@
 SessionWorld::AwaitFree(bool aStepDown)
 {
   if (aStepDown || leases_.IsFree(kGroup, now_)) {
-    At(kPromoteDelay, [this] { FinishPromotion(); });
+    After(kPromoteDelay, [this] { FinishPromotion(); });
     return;
   }
-  At(5ms, [this, aStepDown] { AwaitFree(aStepDown); });
+  After(5ms, [this, aStepDown] { AwaitFree(aStepDown); });
 }
 
 void
@@ -612,14 +594,14 @@
     for (auto& [value, fate] : fates_) {
       fate.rolledBack_ |= fate.commits_ > 0 && !kept.contains(value);
     }
-    At(kReplaced, [this] {
+    After(kReplaced, [this] {
       for (std::size_t i = 0; i < kServers; i++) {
         servers_[i].primary_ = servers_[i].primary_ && i == Primary();
       }
     });
   }
   if (!leases_.IsFree(kGroup, now_)) {
-    At(5ms, [this] { FinishPromotion(); });
+    After(5ms, [this] { FinishPromotion(); });
     return;
   }
   changing_ = false;
@@ -644,25 +626,25 @@
     case 2: {
       const std::size_t primary = Primary();
       CrashServer(primary);
-      At(200ms, [this] { ChangePrimary(false); });
-      At(1500ms, [this, primary] { StartServer(primary); });
+      After(200ms, [this] { ChangePrimary(false); });
+      After(1500ms, [this, primary] { StartServer(primary); });
       break;
     }
     case 3: {
       const std::size_t server = random_() % kServers;
       if (server != Primary()) {
         CrashServer(server);
-        At(800ms, [this, server] { StartServer(server); });
+        After(800ms, [this, server] { StartServer(server); });
       }
       break;
     }
     case 4:
       config_.lag_ = 400ms;
-      At(1s, [this] { config_.lag_ = 10ms; });
+      After(1s, [this] { config_.lag_ = 10ms; });
       break;
     case 5:
       loss_ = 0.1;
-      At(600ms, [this] { loss_ = 0; });
+      After(600ms, [this] { loss_ = 0; });
       break;
     case 6:
       frozenUntil_[random_() % gateways_.size()] = now_ + 2s;
@@ -670,7 +652,7 @@
     default:
       break;
   }
-  At(700ms + Duration(random_() % 1'500'000), [this] { Disturb(); });
+  After(700ms + Duration(random_() % 1'500'000), [this] { Disturb(); });
 }
 
 } // namespace jaydoor::tests
--- a/tests/SessionWorld.h
+++ b/tests/SessionWorld.h
@@ -13,8 +13,8 @@
 
 #include "control/LeaseTable.h"
 #include "gateway/Gateway.h"
+#include "tests/Timeline.h"
 
-#include <functional>
 #include <map>
 #include <queue>
 #include <random>
@@ -34,13 +34,13 @@
   bool faults_ = true;
 };
 
-class SessionWorld
+class SessionWorld : private Timeline
 {
 public:
   explicit SessionWorld(SessionWorldConfig aConfig);
 
-  void Run(Duration aTime);
-  Time Now() const { return now_; }
+  using Timeline::Now;
+  using Timeline::Run;
   const std::vector<std::string>& Failures() const { return failures_; }
 
   std::size_t Done() const { return done_; }
@@ -120,9 +120,6 @@
     std::size_t position_ = 0; // in the log
   };
 
-  using Task = std::function<void()>;
-
-  void At(Duration aDelay, Task aTask);
   void Check(bool aHolds, const std::string& aWhat);
   void StepGateway(std::size_t aGateway, GatewayEvent aEvent);
   void Perform(std::size_t aGateway, GatewayAction& aAction);
@@ -157,9 +154,6 @@
 
   SessionWorldConfig config_;
   std::mt19937_64 random_;
-  Time now_{ 1000s };
-  std::uint64_t sequence_ = 0;
-  std::map<std::pair<Time, std::uint64_t>, Task> tasks_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<Time> frozenUntil_;
   std::vector<Server> servers_;
--- a/tests/SessionWorldCallers.cpp
+++ b/tests/SessionWorldCallers.cpp
@@ -140,7 +140,7 @@
                   caller.kind_ == StatementKind::BeginRead)) {
     caller.inside_ = true;
   }
-  At(Duration(1000 + random_() % 20'000), [this, aCaller] { Act(aCaller); });
+  After(Duration(1000 + random_() % 20'000), [this, aCaller] { Act(aCaller); });
 }
 
 } // namespace jaydoor::tests
--- /dev/null
+++ b/tests/Timeline.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// Virtual time: tasks run in the order of their times, and of their making
+// where the times are the same. A base of the worlds.
+
+#include "base/Time.h"
+
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace jaydoor::tests {
+
+class Timeline
+{
+public:
+  using Task = std::function<void()>;
+
+  explicit Timeline(Time aStart)
+    : now_(aStart)
+  {
+  }
+
+  Time Now() const { return now_; }
+
+  void At(Time aTime, Task aTask)
+  {
+    tasks_[{ aTime, order_++ }] = std::move(aTask);
+  }
+  void After(Duration aDelay, Task aTask)
+  {
+    At(now_ + aDelay, std::move(aTask));
+  }
+
+  void Run(Duration aTime)
+  {
+    const Time end = now_ + aTime;
+    while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
+      now_ = tasks_.begin()->first.first;
+      const Task task = std::move(tasks_.begin()->second);
+      tasks_.erase(tasks_.begin());
+      task();
+    }
+    now_ = end;
+  }
+
+protected:
+  Time now_;
+
+private:
+  std::uint64_t order_ = 0;
+  std::map<std::pair<Time, std::uint64_t>, Task> tasks_;
+};
+
+} // namespace jaydoor::tests
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -1,6 +1,7 @@
 #include "tests/VoterWorld.h"
 
 #include "base/Compress.h"
+#include "tests/DiskModel.h"
 
 #include <algorithm>
 
@@ -17,7 +18,8 @@
 } // namespace
 
 VoterWorld::VoterWorld(std::uint64_t aSeed, std::size_t aDisks)
-  : disks_(aDisks)
+  : Timeline(Time(1000s))
+  , disks_(aDisks)
   , random_(aSeed)
 {
   for (std::size_t i = 0; i < disks_ + 2; i++) {
@@ -47,25 +49,6 @@
          Duration(static_cast<Duration::rep>(random_() % (spread + 1)));
 }
 
-void
-VoterWorld::At(Time aTime, Task aTask)
-{
-  tasks_[{ aTime, order_++ }] = std::move(aTask);
-}
-
-void
-VoterWorld::Run(Duration aTime)
-{
-  const Time end = now_ + aTime;
-  while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
-    now_ = tasks_.begin()->first.first;
-    const Task task = std::move(tasks_.begin()->second);
-    tasks_.erase(tasks_.begin());
-    task();
-  }
-  now_ = end;
-}
-
 void
 VoterWorld::Fail(const std::string& aWhat)
 {
@@ -94,7 +77,7 @@
 void
 VoterWorld::Start(const VmId& aVm)
 {
-  Vm& vm = At(aVm);
+  Vm& vm = vms_.at(aVm);
   if (vm.up_) {
     return;
   }
@@ -124,7 +107,7 @@
   std::optional<RaftDisk> disk;
   if (vm.votes_) {
     if (vm.disk_ == 0) {
-      vm.disk_ = order_++ + 1;
+      vm.disk_ = nextDisk_++;
     }
     vm.info_.set_voter(fmt::format("{}/{}", aVm, vm.disk_));
     disk = vm.saved_;
@@ -141,7 +124,7 @@
 void
 VoterWorld::Kill(const VmId& aVm)
 {
-  At(aVm).up_ = false;
+  vms_.at(aVm).up_ = false;
   for (const auto& [id, vm] : vms_) {
     links_.erase({ aVm, id });
     links_[{ id, aVm }].openFrom_ = Time::max();
@@ -151,8 +134,8 @@
 void
 VoterWorld::Wipe(const VmId& aVm)
 {
-  At(aVm).saved_ = RaftDisk{};
-  At(aVm).disk_ = 0;
+  vms_.at(aVm).saved_ = RaftDisk{};
+  vms_.at(aVm).disk_ = 0;
 }
 
 void
@@ -173,7 +156,7 @@
 void
 VoterWorld::Tick(const VmId& aVm, std::uint64_t aLife)
 {
-  Vm& vm = At(aVm);
+  Vm& vm = vms_.at(aVm);
   if (!vm.up_ || vm.life_ != aLife) {
     return;
   }
@@ -189,7 +172,7 @@
 void
 VoterWorld::AskLeases(const VmId& aVm, std::uint64_t aLife)
 {
-  Vm& vm = At(aVm);
+  Vm& vm = vms_.at(aVm);
   if (!vm.up_ || vm.life_ != aLife) {
     return;
   }
@@ -208,28 +191,11 @@
   ControlActions actions;
   aVm.node_->Step(std::move(aEvent), now_, actions);
   for (auto& action : actions) {
-    Save(aVm, action);
+    SaveTo(aVm.saved_, action);
     Perform(aVm, action);
   }
 }
 
-void
-VoterWorld::Save(Vm& aVm, ControlAction& aAction)
-{
-  RaftDisk& disk = aVm.saved_;
-  if (auto* hard = std::get_if<SaveHardState>(&aAction)) {
-    disk.hard_ = hard->state_;
-  } else if (auto* entries = std::get_if<SaveEntries>(&aAction)) {
-    const std::uint64_t first = entries->entries_.front().index();
-    disk.entries_.resize(first - disk.snapshot_.index() - 1);
-    disk.entries_.insert(
-      disk.entries_.end(), entries->entries_.begin(), entries->entries_.end());
-  } else if (auto* snapshot = std::get_if<SaveSnapshot>(&aAction)) {
-    disk.snapshot_ = snapshot->snapshot_;
-    disk.entries_ = snapshot->entries_;
-  }
-}
-
 void
 VoterWorld::Perform(Vm& aVm, ControlAction& aAction)
 {
@@ -280,19 +246,19 @@
 {
   const auto& [from, to] = aKey;
   Queue& queue = links_[aKey];
-  if (!At(to).up_ || now_ < queue.openFrom_ || !Reaches(from, to)) {
+  if (!vms_.at(to).up_ || now_ < queue.openFrom_ || !Reaches(from, to)) {
     return;
   }
   for (auto& message : queue.kept_) {
     queue.lastAt_ = std::max(queue.lastAt_, now_ + Between(200us, 2ms));
-    const std::uint64_t life = At(to).life_;
+    const std::uint64_t life = vms_.at(to).life_;
     const auto deliver = std::make_shared<Task>();
     *deliver = [this,
                 id = to,
                 life,
                 deliver = std::weak_ptr<Task>(deliver),
                 message = std::move(message)] {
-      Vm& vm = At(id);
+      Vm& vm = vms_.at(id);
       if (!vm.up_ || vm.life_ != life) {
         return;
       }
@@ -325,7 +291,7 @@
 VoterWorld::Operate()
 {
   At(now_ + Between(20ms, 300ms), [this] { Operate(); });
-  Vm& vm = At(AnyVm(true));
+  Vm& vm = vms_.at(AnyVm(true));
   if (!vm.up_ || now_ < vm.frozenUntil_) {
     return;
   }
@@ -385,7 +351,7 @@
     RestartAll(Between(100ms, 2s));
     return;
   }
-  if (!At(id).up_ || !MayLose(id)) {
+  if (!vms_.at(id).up_ || !MayLose(id)) {
     return;
   }
   if (kind < 4) {
@@ -396,12 +362,12 @@
     Wipe(id);
     At(now_ + Between(50ms, 4s), [this, id] { Start(id); });
   } else if (kind < 8) {
-    At(id).frozenUntil_ = now_ + Between(50ms, 3s);
+    vms_.at(id).frozenUntil_ = now_ + Between(50ms, 3s);
   } else {
     Cut(id);
     At(now_ + Between(100ms, 4s), [this, id] {
       cut_.erase(id);
-      At(id).upSince_ = now_;
+      vms_.at(id).upSince_ = now_;
       for (const auto& [other, vm] : vms_) {
         Flush({ id, other });
         Flush({ other, id });
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -16,21 +16,21 @@
 // lost disks, freezes, cuts. The same seed gives the same run.
 
 #include "control/ControlNode.h"
+#include "tests/Timeline.h"
 
 #include <deque>
-#include <functional>
 #include <map>
 #include <random>
 
 namespace jaydoor::tests {
 
-class VoterWorld
+class VoterWorld : private Timeline
 {
 public:
   // `aDisks`: VMs with a data folder, three of them seeds; all are to vote.
   explicit VoterWorld(std::uint64_t aSeed, std::size_t aDisks = 3);
 
-  void Run(Duration aTime);
+  using Timeline::Run;
   void StopFaults() { faults_ = false; }
 
   void Kill(const VmId& aVm);
@@ -72,14 +72,10 @@
     Time lastAt_;   // messages stay in order
   };
 
-  using Task = std::function<void()>;
   using LinkKey = std::pair<VmId, VmId>;
 
-  void At(Time aTime, Task aTask);
   void Fail(const std::string& aWhat);
-  Vm& At(const VmId& aVm) { return vms_.at(aVm); }
   void Step(Vm& aVm, ControlEvent aEvent);
-  void Save(Vm& aVm, ControlAction& aAction);
   void Perform(Vm& aVm, ControlAction& aAction);
   void Send(const VmId& aFrom, const VmId& aTo, wire::ControlMessage aMessage);
   void Flush(const LinkKey& aKey);
@@ -93,10 +89,8 @@
   Duration Between(Duration aLeast, Duration aMost);
 
   std::size_t disks_ = 3;
+  std::uint64_t nextDisk_ = 1;
   std::mt19937_64 random_;
-  Time now_{ 1000s };
-  std::uint64_t order_ = 0;
-  std::map<std::pair<Time, std::uint64_t>, Task> tasks_;
   std::map<VmId, Vm> vms_;
   std::map<LinkKey, Queue> links_;
   std::set<VmId> cut_;
--- a/tests/World.cpp
+++ b/tests/World.cpp
@@ -1,5 +1,7 @@
 #include "tests/World.h"
 
+#include "tests/DiskModel.h"
+
 #include <algorithm>
 
 #include <fmt/format.h>
@@ -178,27 +180,10 @@
 
 // ---- Control actions
 
-void
-World::Save(VmState& aVm, ControlAction& aAction)
-{
-  RaftDisk& disk = aVm.saved_;
-  if (auto* hard = std::get_if<SaveHardState>(&aAction)) {
-    disk.hard_ = hard->state_;
-  } else if (auto* entries = std::get_if<SaveEntries>(&aAction)) {
-    const std::uint64_t first = entries->entries_.front().index();
-    disk.entries_.resize(first - disk.snapshot_.index() - 1);
-    disk.entries_.insert(
-      disk.entries_.end(), entries->entries_.begin(), entries->entries_.end());
-  } else if (auto* snapshot = std::get_if<SaveSnapshot>(&aAction)) {
-    disk.snapshot_ = snapshot->snapshot_;
-    disk.entries_ = snapshot->entries_;
-  }
-}
-
 void
 World::Perform(VmState& aVm, ControlAction& aAction)
 {
-  Save(aVm, aAction);
+  SaveTo(aVm.saved_, aAction);
   const VmId id = aVm.info_.id();
   const std::uint64_t life = aVm.life_;
   if (auto* send = std::get_if<SendVm>(&aAction)) {
--- a/tests/World.h
+++ b/tests/World.h
@@ -125,7 +125,6 @@
   void Deliver(VmState& aVm, std::uint64_t aLife, std::function<void()> aRun);
   void TickControl(const VmId& aVm, std::uint64_t aLife);
   void TickTraffic(const VmId& aVm, std::uint64_t aLife);
-  void Save(VmState& aVm, ControlAction& aAction);
   void Perform(VmState& aVm, ControlAction& aAction);
   void Perform(VmState& aVm, TrafficAction& aAction);
   void Ask(VmState& aVm, ConnectionId aId, const UpstreamRequest& aRequest);
