--- a/tests/LineGroup.cpp
+++ b/tests/LineGroup.cpp
@@ -3,11 +3,11 @@
 #include "daemon/Clock.h"
 
 #include <algorithm>
+#include <array>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -20,7 +20,6 @@
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 
-constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxLine = 1U << 20;
 constexpr Duration kAnnounceLimit = 1s;
 
@@ -154,7 +153,8 @@
 LineGroup::Sleep(Duration aTime)
 {
   asio::steady_timer timer(context_, aTime);
-  co_await timer.async_wait(kUse);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
 asio::awaitable<void>
@@ -162,7 +162,9 @@
 {
   const auto acceptor = acceptors_[aServer];
   while (true) {
-    auto [error, accepted] = co_await acceptor->async_accept(kUse);
+    boost::system::error_code error;
+    auto accepted = co_await acceptor->async_accept(
+      asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       co_return;
     }
@@ -180,15 +182,22 @@
   Connection connection;
   connection.server_ = aServer;
   std::string bytes;
+  std::array<char, 4096> chunk{};
   bool opened = false;
   while (true) {
-    const auto [error, size] = co_await asio::async_read_until(
-      *aSocket, asio::dynamic_buffer(bytes, kMaxLine), '\n', kUse);
-    if (error) {
-      break;
+    boost::system::error_code error;
+    std::size_t end = bytes.find('\n');
+    while (!error && end == std::string::npos && bytes.size() < kMaxLine) {
+      const std::size_t size = co_await aSocket->async_read_some(
+        asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+      bytes.append(chunk.data(), size);
+      end = bytes.find('\n');
+    }
+    if (end == std::string::npos) {
+      break; // closed, or too long
     }
-    std::string line = bytes.substr(0, size - 1);
-    bytes.erase(0, size);
+    std::string line = bytes.substr(0, end);
+    bytes.erase(0, end + 1);
     if (line.ends_with('\r')) {
       line.pop_back();
     }
@@ -201,7 +210,10 @@
     } else if (opened && word == "QUERY") {
       answer = co_await Query(connection, std::string(rest));
     }
-    co_await asio::async_write(*aSocket, asio::buffer(answer), kUse);
+    co_await asio::async_write(
+      *aSocket,
+      asio::buffer(answer),
+      asio::redirect_error(asio::use_awaitable, error));
     if (answer.empty() || !opened) {
       break; // closed, or not understood
     }
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -33,7 +33,7 @@
     vms_[vm.info_.id()] = std::move(vm);
   }
   for (auto& [id, vm] : vms_) {
-    At(now_ + Between(0ms, 300ms), [this, id] { Start(id); });
+    At(now_ + Between(0ms, 300ms), [this, id = id] { Start(id); });
   }
   At(now_ + 1s, [this] { Operate(); });
   At(now_ + 2s, [this] { Disturb(); });
@@ -149,7 +149,7 @@
 {
   for (auto& [id, vm] : vms_) {
     Kill(id);
-    At(now_ + aDown + Between(0ms, 300ms), [this, id] { Start(id); });
+    At(now_ + aDown + Between(0ms, 300ms), [this, id = id] { Start(id); });
   }
 }
 
