Tests: one class starts and ends programs; the bad settings file is bad; members without callers are gone

Fleet kept its own copies of kill, signal and wait beside standin/Process; it holds Processes now, and Spawn is Process's own. Process::WaitForEnd gave 0 when called again after a signal; it gives the same answer again. The section 'SIGHUP with a bad file changes nothing' sent SIGHUP without a bad file; it writes two now, and looks for J106 in the log. LineGroup and VoterWorld lose what no test calls.

--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -573,7 +573,7 @@
     const auto cpuOfAll = [&aFleet] {
       double cpu = 0;
       for (const auto& vm : aFleet.Vms()) {
-        cpu += CpuSecondsOf(aFleet.Get(vm).pid_);
+        cpu += CpuSecondsOf(aFleet.Get(vm).process_->Pid());
       }
       return cpu;
     };
@@ -598,7 +598,7 @@
 
   void MeasureConnections(Fleet& aFleet)
   {
-    const pid_t pid = aFleet.Get("vm-a1").pid_;
+    const pid_t pid = aFleet.Get("vm-a1").process_->Pid();
     const std::string host = aFleet.Get("vm-a1").bind_;
     constexpr std::size_t kCount = 4000;
     asio::io_context context(1);
--- a/standin/Fleet.cpp
+++ b/standin/Fleet.cpp
@@ -8,9 +8,6 @@
 #include <fstream>
 #include <thread>
 
-#include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <boost/json.hpp>
@@ -23,6 +20,7 @@
 namespace json = boost::json;
 
 constexpr Duration kPoll = 20ms;
+constexpr Duration kKeysLimit = 60s; // far above what it takes, also under load
 constexpr std::size_t kRelayOffset = 100;  // third part of a relay's address
 constexpr std::size_t kServerOffset = 100; // fourth part of a server's
 
@@ -52,10 +50,7 @@
 Fleet::~Fleet()
 {
   for (auto& [name, member] : members_) {
-    if (member.pid_ != 0) {
-      kill(member.pid_, SIGKILL);
-      waitpid(member.pid_, nullptr, 0);
-    }
+    member.process_.reset();
   }
 }
 
@@ -84,9 +79,8 @@
   std::vector<std::string> linkFlags{ "--plain-links", "on" };
   if (config_.keys_) {
     const std::string file = config_.folder_ + "/link-keys";
-    const pid_t maker =
-      Spawn({ config_.binaries_ + "/ctl/jaydoorctl", "keys" }, file);
-    waitpid(maker, nullptr, 0);
+    Process({ config_.binaries_ + "/ctl/jaydoorctl", "keys" }, file)
+      .WaitForEnd(kKeysLimit);
     linkFlags = { "--link-key-file", file };
   }
   std::string peers;
@@ -253,9 +247,9 @@
 Fleet::Run(const std::string& aName)
 {
   Member& member = members_.at(aName);
-  if (member.pid_ == 0) {
-    member.pid_ =
-      Spawn(member.arguments_, config_.folder_ + "/" + aName + ".log");
+  if (!member.process_) {
+    member.process_ = std::make_shared<Process>(
+      member.arguments_, config_.folder_ + "/" + aName + ".log");
     member.frozen_ = false;
   }
 }
@@ -263,12 +257,7 @@
 void
 Fleet::Kill(const std::string& aName)
 {
-  Member& member = members_.at(aName);
-  if (member.pid_ != 0) {
-    kill(member.pid_, SIGKILL);
-    waitpid(member.pid_, nullptr, 0);
-    member.pid_ = 0;
-  }
+  members_.at(aName).process_.reset();
 }
 
 void
@@ -289,8 +278,8 @@
 Fleet::Signal(const std::string& aName, int aSignal)
 {
   const Member& member = members_.at(aName);
-  if (member.pid_ != 0) {
-    kill(member.pid_, aSignal);
+  if (member.process_) {
+    member.process_->Signal(aSignal);
   }
 }
 
@@ -298,23 +287,18 @@
 Fleet::WaitForEnd(const std::string& aName, Duration aLimit)
 {
   Member& member = members_.at(aName);
-  const Time until = ReadClock() + aLimit;
-  int status = 0;
-  while (waitpid(member.pid_, &status, WNOHANG) == 0) {
-    if (ReadClock() >= until) {
-      return -1;
-    }
-    std::this_thread::sleep_for(kPoll);
+  const int status = member.process_->WaitForEnd(aLimit);
+  if (member.process_->HasEnded()) {
+    member.process_.reset();
   }
-  member.pid_ = 0;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  return status;
 }
 
 void
 Fleet::Wipe(const std::string& aName)
 {
   const Member& member = members_.at(aName);
-  if (member.pid_ == 0 && !member.dataPath_.empty()) {
+  if (!member.process_ && !member.dataPath_.empty()) {
     fs::remove_all(member.dataPath_);
   }
 }
--- a/standin/Fleet.h
+++ b/standin/Fleet.h
@@ -14,6 +14,7 @@
 #include "base/Types.h"
 #include "daemon/Http.h"
 #include "standin/Network.h"
+#include "standin/Process.h"
 #include "wire/Json.h"
 
 #include <map>
@@ -21,8 +22,6 @@
 #include <string>
 #include <vector>
 
-#include <sys/types.h>
-
 namespace jaydoor::standin {
 
 struct FleetConfig
@@ -50,8 +49,8 @@
   std::string bind_; // IP that it binds
   std::string host_; // IP at which others reach it
   std::vector<std::string> arguments_;
-  std::string dataPath_; // what Wipe removes; empty: nothing
-  pid_t pid_ = 0;        // 0: not running
+  std::string dataPath_;             // what Wipe removes; empty: nothing
+  std::shared_ptr<Process> process_; // none: not running
   bool frozen_ = false;
 };
 
--- a/standin/Process.cpp
+++ b/standin/Process.cpp
@@ -15,8 +15,6 @@
 
 constexpr Duration kPoll = 20ms;
 
-} // namespace
-
 pid_t
 Spawn(const std::vector<std::string>& aArguments,
       const std::string& aLog,
@@ -49,6 +47,8 @@
   _exit(127);
 }
 
+} // namespace
+
 Process::Process(const std::vector<std::string>& aArguments,
                  const std::string& aLog,
                  const std::vector<std::string>& aVariables)
@@ -58,7 +58,7 @@
 
 Process::~Process()
 {
-  if (pid_ > 0) {
+  if (!HasEnded()) {
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
   }
@@ -67,7 +67,7 @@
 void
 Process::Signal(int aSignal) const
 {
-  if (pid_ > 0) {
+  if (!HasEnded()) {
     kill(pid_, aSignal);
   }
 }
@@ -77,14 +77,17 @@
 {
   const auto end = std::chrono::steady_clock::now() + aLimit;
   int status = 0;
-  while (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == 0) {
-    if (std::chrono::steady_clock::now() >= end) {
+  while (!HasEnded()) {
+    if (waitpid(pid_, &status, WNOHANG) != 0) {
+      status_ =
+        WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    } else if (std::chrono::steady_clock::now() >= end) {
       return -1;
+    } else {
+      std::this_thread::sleep_for(kPoll);
     }
-    std::this_thread::sleep_for(kPoll);
   }
-  pid_ = 0;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return *status_;
 }
 
 } // namespace jaydoor::standin
--- a/tests/LineGroup.cpp
+++ b/tests/LineGroup.cpp
@@ -107,12 +107,6 @@
   }
 }
 
-std::string
-LineGroup::IdOf(std::size_t aServer) const
-{
-  return servers_[aServer].id_;
-}
-
 std::size_t
 LineGroup::Primary() const
 {
@@ -137,16 +131,6 @@
   return values;
 }
 
-std::size_t
-LineGroup::OpenConnections() const
-{
-  std::size_t open = 0;
-  for (const auto& server : servers_) {
-    open += server.sockets_.size();
-  }
-  return open;
-}
-
 // ---- Connections
 
 asio::awaitable<void>
@@ -333,11 +317,11 @@
       return { {}, "NOSTMT", {} };
     }
     const std::string item(TakeWord(rest));
-    return RunItem(aConnection, found->second.writes_, item, std::string(rest));
+    return RunItem(aConnection, found->second, item, std::string(rest));
   }
   if (verb == "PREPARE") {
     const std::string name(TakeWord(rest));
-    aConnection.prepared_[name] = { TakeWord(rest) == "WRITE" };
+    aConnection.prepared_[name] = TakeWord(rest) == "WRITE";
     return {};
   }
   if (verb == "DEALLOC") {
@@ -490,7 +474,7 @@
   Server& server = servers_[aServer];
   std::size_t next = aServer;
   while (server.up_) {
-    if (announcing_ && !config_.announceTo_.empty()) {
+    if (!config_.announceTo_.empty()) {
       server.sequence_++;
       const auto& to = config_.announceTo_[next % config_.announceTo_.size()];
       HttpCaller caller(context_, to.host_, to.port_);
@@ -541,7 +525,6 @@
     if (server.id_ == aId && server.up_ && !server.primary_) {
       server.primary_ = true;
       server.term_ = term + 1;
-      promotionCount_++;
     }
   }
 }
--- a/tests/LineGroup.h
+++ b/tests/LineGroup.h
@@ -54,19 +54,10 @@
 
   Expected<bool> Start();
 
-  // Faults; call them on the group's thread.
+  // Call these on the group's thread.
   void Crash(std::size_t aServer);
-  void StopAnnouncing() { announcing_ = false; }
-
-  // What happened; call on the group's thread.
-  std::string IdOf(std::size_t aServer) const;
   std::size_t Primary() const;
   std::vector<std::string> CommitsOf(const std::string& aItem) const;
-  std::size_t Promotions() const { return promotionCount_; }
-  std::size_t OpenConnections() const;
-  // Values that were set on a connection other than by its own session, or
-  // left behind: none if sessions are kept apart.
-  std::size_t StatementsRun() const { return run_; }
 
 private:
   struct Entry
@@ -88,11 +79,6 @@
     std::set<std::shared_ptr<boost::asio::ip::tcp::socket>> sockets_;
   };
 
-  struct Prepared
-  {
-    bool writes_ = false;
-  };
-
   struct Connection
   {
     std::size_t server_ = 0;
@@ -102,7 +88,7 @@
     std::uint64_t term_ = 0; // of the server at its begin
     std::vector<std::pair<std::string, std::string>> writes_;
     std::map<std::string, std::string> values_;
-    std::map<std::string, Prepared> prepared_;
+    std::map<std::string, bool> prepared_; // true: it writes
   };
 
   struct Answer
@@ -139,9 +125,7 @@
   HttpServer promotions_;
   std::vector<Server> servers_;
   std::vector<std::shared_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
-  bool announcing_ = true;
-  std::size_t promotionCount_ = 0;
-  std::size_t run_ = 0;
+  std::size_t run_ = 0; // statements, for signatures
 };
 
 } // namespace jaydoor::tests
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -138,12 +138,6 @@
   vms_.at(aVm).disk_ = 0;
 }
 
-void
-VoterWorld::Cut(const VmId& aVm)
-{
-  cut_.insert(aVm);
-}
-
 void
 VoterWorld::RestartAll(Duration aDown)
 {
@@ -364,7 +358,7 @@
   } else if (kind < 8) {
     vms_.at(id).frozenUntil_ = now_ + Between(50ms, 3s);
   } else {
-    Cut(id);
+    cut_.insert(id); // from all others
     At(now_ + Between(100ms, 4s), [this, id] {
       cut_.erase(id);
       vms_.at(id).upSince_ = now_;
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -36,8 +36,6 @@
   void Kill(const VmId& aVm);
   void Start(const VmId& aVm);
   void Wipe(const VmId& aVm); // its disk; it has to be down
-  void Cut(const VmId& aVm);  // from all others
-  void Heal() { cut_.clear(); }
   // Kills all, and starts each up to 300 ms after the time is over.
   void RestartAll(Duration aDown);
   void NameNoSeeds() { namesSeeds_ = false; } // to those that start later
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -225,6 +225,22 @@
     Start(aName, false);
   }
 
+  void WriteNodeFile(const std::string& aName, const std::string& aText) const
+  {
+    std::ofstream(folder_ + "/" + aName + ".yaml") << aText;
+  }
+
+  std::size_t CountInLog(const std::string& aName,
+                         const std::string& aText) const
+  {
+    std::ifstream log(folder_ + "/" + aName + ".log");
+    std::size_t count = 0;
+    for (std::string line; std::getline(log, line);) {
+      count += line.find(aText) != std::string::npos ? 1U : 0U;
+    }
+    return count;
+  }
+
   // The disk of a control VM that does not run.
   void WipeDisk(const std::string& aName) const
   {
@@ -432,9 +448,14 @@
 
   SECTION("SIGHUP with a bad file changes nothing")
   {
-    site.Get("entry-1").Signal(SIGHUP);
-    std::this_thread::sleep_for(100ms);
-    CHECK(site.Write(1, "hup", "1"));
+    for (const char* text : { "nodeName: [", "" }) {
+      site.WriteNodeFile("entry-1", text);
+      site.Get("entry-1").Signal(SIGHUP);
+      std::this_thread::sleep_for(100ms);
+      CHECK(site.Write(1, "hup", "1"));
+    }
+    CHECK(Await([&] { return site.CountInLog("entry-1", "J106") == 2; }));
+    CHECK(site.IsReady(1));
   }
 
   SECTION("a VM that is told to stop finishes what it has")
