Probes, leases and index questions go by UDP; pushes stay inside a zone

Cause: each VM held a ZeroMQ link to each other one, since probes go to random members, and each link beats four times a second both ways: 123 VMs pay for 15,000 links. Above 32 VMs every VM also passed every change on to five others. Ruled out: work of the decisions (own code was under half of the time).

Now messages that are repeated until answered go by UDP (not with link keys), a voter pushes to its own zone, followers learn of a commit at once, a grant names the leader's index and leaves out a list of leases that the holder has, and links close after 10 s without use.

--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kRuleChangeTimeout = 5s;
 constexpr Duration kProofRequestInterval = 50ms;
 constexpr Duration kDeltaRequestInterval = 200ms;
+// After a grant, the next ones are expected to name the index for this long.
+constexpr Duration kGrantIndexWindow = 1s;
 // After this time without a proof by the quorum, a delta from another VM whose
 // state was proven is proof enough.
 constexpr Duration kNeighbourProofDelay = 3s;
@@ -25,9 +27,8 @@
 // without an announcement.
 constexpr Duration kAnnouncementTimeout = 30s;
 constexpr std::size_t kPushFanout = 5; // VMs that each VM pushes a change to
-// Up to this number of live VMs the leader pushes changes to all of them
-// itself.
-constexpr std::size_t kMaxDirectPushVms = 32;
+// Up to this number of live VMs, voters push changes to all other VMs.
+constexpr std::size_t kMaxDirectPushVms = 500;
 
 // True if both describe the server alike. The sequence numbers are not
 // compared, since each announcement has another one.
@@ -40,6 +41,22 @@
 
 } // namespace
 
+bool
+ToleratesLoss(const wire::ControlMessage& aMessage)
+{
+  switch (aMessage.body_case()) {
+    case wire::ControlMessage::kProbe:
+    case wire::ControlMessage::kProbeReply:
+    case wire::ControlMessage::kIndexRequest:
+    case wire::ControlMessage::kIndexReply:
+    case wire::ControlMessage::kLeaseRequest:
+    case wire::ControlMessage::kLeaseGrant:
+      return true;
+    default:
+      return false;
+  }
+}
+
 VmId
 VmOfVoter(const VoterId& aVoter)
 {
@@ -258,12 +275,12 @@
   std::vector<SendToVm> messages;
   switch (message.body_case()) {
     case wire::ControlMessage::kProbe:
-      HandlePeerIndex(from, message.probe().applied(), aNow, aOut);
+      HandleProbedIndex(from, message.probe().applied(), aNow, aOut);
       RecordLeader(message.probe().leader());
       membership_.HandleProbe(from, message.probe(), aNow, messages);
       break;
     case wire::ControlMessage::kProbeReply:
-      HandlePeerIndex(from, message.probe_reply().applied(), aNow, aOut);
+      HandleProbedIndex(from, message.probe_reply().applied(), aNow, aOut);
       RecordLeader(message.probe_reply().leader());
       membership_.HandleProbeReply(from, message.probe_reply(), aNow, messages);
       break;
@@ -365,6 +382,33 @@
   RequestDelta(aFrom, aOut);
 }
 
+// While grants arrive, they tell what this VM lacks: asking all peers that are
+// ahead would open links to most of the fleet.
+void
+ControlNode::HandleProbedIndex(const VmId& aFrom,
+                               std::uint64_t aIndex,
+                               Time aNow,
+                               ControlActions& aOut)
+{
+  if (aNow - grantReceivedAt_ >= kGrantIndexWindow) {
+    HandlePeerIndex(aFrom, aIndex, aNow, aOut);
+  }
+}
+
+// Requests the changes that the leader had applied at an earlier grant already:
+// they were pushed to this VM and have not arrived.
+void
+ControlNode::RequestMissedChanges(const VmId& aLeader,
+                                  std::uint64_t aLeaderIndex,
+                                  Time aNow,
+                                  ControlActions& aOut)
+{
+  if (state_.Index() < grantedIndex_) {
+    HandlePeerIndex(aLeader, grantedIndex_, aNow, aOut);
+  }
+  grantedIndex_ = aLeaderIndex;
+}
+
 void
 ControlNode::HandleDelta(const VmId& aFrom,
                          const wire::Delta& aDelta,
@@ -648,6 +692,42 @@
   }
 }
 
+// The VMs to which this one passes on a change that it has applied.
+//
+// One voter of each availability zone serves the VMs there, so that a change
+// crosses between zones once, in the Raft log; the leader serves the zones
+// without a live voter. A VM that is missed learns of the change from the next
+// lease grants. In a fleet beyond kMaxDirectPushVms, each VM pushes to a few
+// random ones.
+std::vector<VmId>
+ControlNode::ListPushTargets()
+{
+  const std::vector<wire::Vm> live = membership_.ListLiveVms();
+  if (live.size() > kMaxDirectPushVms) {
+    return membership_.ChooseRandomVms(kPushFanout);
+  }
+  if (!raft_) {
+    return {};
+  }
+  std::map<ZoneId, VmId> voterByZone; // the first by id
+  for (const auto& vm : live) {
+    if (!vm.voter().empty()) {
+      voterByZone.try_emplace(vm.zone(), vm.id());
+    }
+  }
+  std::vector<VmId> targets;
+  for (const auto& vm : live) {
+    const auto voter = voterByZone.find(vm.zone());
+    const bool isServedHere = voter == voterByZone.end()
+                                ? raft_->IsLeader()
+                                : voter->second == config_.self_.id();
+    if (vm.voter().empty() && isServedHere) {
+      targets.push_back(vm.id());
+    }
+  }
+  return targets;
+}
+
 void
 ControlNode::PushDelta(std::uint64_t aFrom, ControlActions& aOut)
 {
@@ -655,21 +735,7 @@
   if (delta.has_snapshot()) {
     return; // too large to push; the other VMs will request it
   }
-  // In a small fleet the leader pushes to all VMs that don't vote, and no VM
-  // pushes any further. In a large one each VM pushes to a few random ones.
-  const std::vector<wire::Vm> live = membership_.ListLiveVms();
-  const bool small = live.size() <= kMaxDirectPushVms;
-  std::vector<VmId> targets;
-  if (!small) {
-    targets = membership_.ChooseRandomVms(kPushFanout);
-  } else if (raft_ && raft_->IsLeader()) {
-    for (const auto& vm : live) {
-      if (vm.voter().empty()) {
-        targets.push_back(vm.id());
-      }
-    }
-  }
-  for (const auto& vm : targets) {
+  for (const auto& vm : ListPushTargets()) {
     wire::ControlMessage message;
     *message.mutable_delta() = delta;
     message.mutable_delta()->set_proven(stateProven_);
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -367,7 +367,16 @@
                        std::uint64_t aIndex,
                        Time aNow,
                        ControlActions& aOut);
+  void HandleProbedIndex(const VmId& aFrom,
+                         std::uint64_t aIndex,
+                         Time aNow,
+                         ControlActions& aOut);
+  void RequestMissedChanges(const VmId& aLeader,
+                            std::uint64_t aLeaderIndex,
+                            Time aNow,
+                            ControlActions& aOut);
   void FinishStep(Time aNow, ControlActions& aOut);
+  std::vector<VmId> ListPushTargets();
   void PushDelta(std::uint64_t aFrom, ControlActions& aOut);
   void LogStateChanges(ControlActions& aOut);
   void LogServerChanges(ControlActions& aOut);
@@ -403,6 +412,7 @@
   bool leasesReset_ = false;              // done once in each leadership
   std::map<VmId, Time> holderProposedAt_; // in this leadership
   Time grantReceivedAt_;                  // last grant to this VM
+  std::uint64_t grantedIndex_ = 0;        // index that it named
   std::map<VmId, Time> holderLiveAt_;     // last seen live, in this leadership
   Time nextLogSizeCheckAt_;
   std::map<VoterId, Time> voterLiveAt_;  // last seen live, in this leadership
@@ -431,4 +441,9 @@
 VmId
 VmOfVoter(const VoterId& aVoter);
 
+// True if the message is repeated until it has had its effect, so that its loss
+// costs only a delay.
+bool
+ToleratesLoss(const wire::ControlMessage& aMessage);
+
 } // namespace jaydoor
--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -64,6 +64,7 @@
   for (auto& database : failover_.ListDatabasesWithSuspicion(state_, aNow)) {
     grant->add_doubted(std::move(database));
   }
+  grant->set_applied(state_.Index());
   if (aHolder == config_.self_.id()) {
     aOut.push_back(DeliverLeaseGrant{ std::move(*grant) });
     return;
@@ -174,6 +175,8 @@
       return true;
     case wire::ControlMessage::kLeaseGrant:
       grantReceivedAt_ = aNow;
+      RequestMissedChanges(
+        aMessage.from(), aMessage.lease_grant().applied(), aNow, aOut);
       aOut.push_back(DeliverLeaseGrant{ aMessage.lease_grant() });
       return true;
     case wire::ControlMessage::kLeaseRevoke:
--- a/control/LeaseTable.cpp
+++ b/control/LeaseTable.cpp
@@ -1,6 +1,9 @@
 #include "control/LeaseTable.h"
 
 #include <algorithm>
+#include <array>
+
+#include <xxhash.h>
 
 namespace jaydoor {
 namespace {
@@ -12,6 +15,24 @@
   return aDatabase.primary().empty() || !aDatabase.intended_primary().empty();
 }
 
+// Returns a hash of the list of leases that differs from kNoLeaseList.
+std::uint64_t
+HashLeases(const wire::LeaseGrant& aGrant)
+{
+  std::uint64_t hash = 1;
+  for (const auto& lease : aGrant.leases()) {
+    hash = XXH3_64bits_withSeed(
+      lease.database().data(), lease.database().size(), hash);
+    hash =
+      XXH3_64bits_withSeed(lease.server().data(), lease.server().size(), hash);
+    const std::array<std::uint64_t, 2> numbers{
+      lease.term(), static_cast<std::uint64_t>(lease.duration_us())
+    };
+    hash = XXH3_64bits_withSeed(numbers.data(), sizeof(numbers), hash);
+  }
+  return hash == kNoLeaseList ? 1 : hash;
+}
+
 } // namespace
 
 LeaseTable::LeaseTable(LeaseTiming aTiming)
@@ -81,6 +102,11 @@
     granted.set_duration_us(duration.count());
   }
   grant.set_holders(static_cast<std::uint32_t>(aState.LeaseHolders().size()));
+  grant.set_list_id(HashLeases(grant));
+  if (grant.list_id() == aRequest.held_list()) {
+    grant.set_unchanged(true);
+    grant.clear_leases();
+  }
   return grant;
 }
 
--- a/control/LeaseTable.h
+++ b/control/LeaseTable.h
@@ -44,6 +44,9 @@
   Duration reachableWindow_ = 700ms;
 };
 
+// In a lease request: the holder has no complete list of leases.
+constexpr std::uint64_t kNoLeaseList = 0;
+
 class LeaseTable
 {
 public:
@@ -52,8 +55,10 @@
   // Call when this VM has become the leader of a term: removes all fences and
   // assumes that each holder in the state has leases on all primaries.
   void Reset(const ControlState& aState, std::uint64_t aTerm, Time aNow);
-  // Grants leases on all primaries that are not being replaced. Returns none if
-  // the control state does not list the VM as a lease holder yet.
+  // Grants leases on all primaries that are not being replaced. If the request
+  // shows that the holder has the list of these leases already, the grant names
+  // the list and leaves it out. Returns none if the control state does not list
+  // the VM as a lease holder yet.
   std::optional<wire::LeaseGrant> Grant(const VmId& aHolder,
                                         const wire::LeaseRequest& aRequest,
                                         const ControlState& aState,
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -493,8 +493,11 @@
   }
   peer.matchIndex_ = std::max(peer.matchIndex_, aReply.match_index());
   peer.nextIndex_ = std::max(peer.nextIndex_, peer.matchIndex_ + 1);
+  const std::uint64_t committedBefore = commitIndex_;
   CommitQuorumEntries(aOut);
-  if (peer.nextIndex_ <= LastIndex()) {
+  if (commitIndex_ > committedBefore) {
+    SendAppendToAll(aNow, aOut); // the followers pass on what is committed
+  } else if (peer.nextIndex_ <= LastIndex()) {
     SendAppend(aFrom, aNow, aOut);
   }
 }
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -3,6 +3,7 @@
 #include "base/Compress.h"
 #include "daemon/AdminJson.h"
 #include "daemon/Clock.h"
+#include "daemon/DatagramSocket.h"
 #include "daemon/Http.h"
 #include "daemon/Link.h"
 #include "daemon/LinkMessage.h"
@@ -85,6 +86,8 @@
             LinkSendPolicy::QueueUnconnected,
             { aSettings.linkPublicKey_, aSettings.linkSecretKey_ },
             [this](std::string_view aBytes) { HandleLinkMessage(aBytes); })
+    , datagrams_(context_,
+                 [this](std::string_view aBytes) { HandleLinkMessage(aBytes); })
   {
   }
 
@@ -119,6 +122,13 @@
     if (!bound) {
       return bound;
     }
+    if (UsesDatagrams()) {
+      const auto datagramPort =
+        datagrams_.Bind(settings_.bind_, settings_.controlPort_);
+      if (!datagramPort) {
+        return tl::unexpected(datagramPort.error());
+      }
+    }
     const auto port = http_.Listen(settings_.bind_, settings_.adminPort_);
     if (!port) {
       return tl::unexpected(port.error());
@@ -127,10 +137,20 @@
     return true;
   }
 
+  // With link keys every message has to be authenticated, so that all of them
+  // go over links.
+  bool UsesDatagrams() const { return settings_.linkPublicKey_.empty(); }
+
+  void SetPeer(const VmId& aVm, const std::string& aHost, std::uint16_t aPort)
+  {
+    link_.SetPeer(aVm, aHost, aPort);
+    datagrams_.SetPeer(aVm, aHost, aPort);
+  }
+
   void SetPeer(const wire::Vm& aVm)
   {
     if (aVm.id() != settings_.vm_) {
-      link_.SetPeer(
+      SetPeer(
         aVm.id(), aVm.host(), static_cast<std::uint16_t>(aVm.control_port()));
     }
   }
@@ -181,9 +201,14 @@
   void Perform(SendToVm& aAction)
   {
     if (settings_.idsAreHosts_ && addressedVms_.insert(aAction.to_).second) {
-      link_.SetPeer(aAction.to_, aAction.to_, settings_.controlPort_);
+      SetPeer(aAction.to_, aAction.to_, settings_.controlPort_);
+    }
+    const std::string bytes = aAction.message_.SerializeAsString();
+    const bool sent = UsesDatagrams() && ToleratesLoss(aAction.message_) &&
+                      datagrams_.Send(aAction.to_, bytes);
+    if (!sent) {
+      link_.Send(aAction.to_, bytes);
     }
-    link_.Send(aAction.to_, aAction.message_.SerializeAsString());
   }
 
   void Perform(PublishView& aAction)
@@ -514,6 +539,7 @@
   asio::steady_timer wakeTimer_;
   HttpServer http_;
   Link link_;
+  DatagramSocket datagrams_;
   std::map<std::uint64_t, std::shared_ptr<HttpClient>> promoterClients_;
   std::map<std::uint64_t, PendingReplyPtr> pendingReplies_;
   std::map<std::uint64_t, PendingDocumentPtr> pendingDocuments_;
--- a/daemon/Link.cpp
+++ b/daemon/Link.cpp
@@ -21,8 +21,8 @@
 constexpr int kHeartbeatTimeoutMs = 750;
 constexpr int kHandshakeTimeoutMs = 1000; // drops a silent new connection
 constexpr int kConnectTimeoutMs = 100;   // retries soon after a lost SYN packet
-constexpr Duration kUnusedTimeout = 60s; // then a socket is closed
-constexpr Duration kSweepInterval = 10s;
+constexpr Duration kUnusedTimeout = 10s; // then a socket is closed
+constexpr Duration kSweepInterval = 2s;
 // VMs that start at the same time find each other's ports closed at first. No
 // leader can be elected until they reconnect, so the first retries come soon.
 constexpr int kReconnectDelayMs = 20;
--- a/daemon/Settings.h
+++ b/daemon/Settings.h
@@ -22,7 +22,7 @@
   std::string bind_;                  // IP to bind to and to connect from
   std::uint16_t callerPort_ = 0;      // HTTP for callers
   std::uint16_t adminPort_ = 0;       // HTTP for operators, upstreams, metrics
-  std::uint16_t controlPort_ = 0;     // ZeroMQ, control messages
+  std::uint16_t controlPort_ = 0;     // ZeroMQ and UDP, control messages
   std::uint16_t trafficPort_ = 0;     // ZeroMQ, statements
   std::vector<wire::Vm> peers_;       // VMs to join through
   std::vector<std::string> voterVms_; // VMs that have a data folder
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -31,6 +31,7 @@
 // point that is sent with the statement.
 
 #include "control/FleetView.h"
+#include "control/LeaseTable.h"
 #include "gateway/Catalog.h"
 #include "gateway/GroupLog.h"
 #include "gateway/SessionTypes.h"
@@ -583,7 +584,10 @@
   ServerLinkId nextLink_ = 1;
   Time leaseRequestedAt_; // last lease request
   Time grantedAt_;        // last answer of the leader to a lease request
-  Time tickedAt_;         // last tick
+  // The last complete list of leases that the leader sent, and its id.
+  google::protobuf::RepeatedPtrField<wire::PrimaryLease> grantedLeases_;
+  std::uint64_t grantedListId_ = kNoLeaseList;
+  Time tickedAt_; // last tick
   std::optional<Time> drainingSince_;
   std::optional<Time> isolatedSince_; // cut off for longer than the limit
   Time lastNotCutOffAt_;              // last tick at which it was not cut off
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -74,6 +74,7 @@
     wire::LeaseRequest request;
     request.set_sent_us(aNow.time_since_epoch().count());
     request.set_incarnation(config_.incarnation_);
+    request.set_held_list(grantedListId_);
     aOut.push_back(SendLeaseRequest{ std::move(request) });
   }
 }
@@ -81,17 +82,24 @@
 void
 Gateway::Handle(LeaseGrantReceived& aEvent, Time aNow, GatewayActions& aOut)
 {
-  const wire::LeaseGrant& grant = aEvent.grant_;
+  wire::LeaseGrant& grant = aEvent.grant_;
   if (grant.incarnation() != config_.incarnation_) {
     return; // meant for an earlier run of this process
   }
+  if (grant.unchanged() && grant.list_id() != grantedListId_) {
+    return; // it renews a list that a later grant has replaced
+  }
+  if (!grant.unchanged()) {
+    grantedLeases_.Swap(grant.mutable_leases());
+    grantedListId_ = grant.list_id();
+  }
   grantedAt_ = aNow;
   holders_ = std::max<std::size_t>(1, grant.holders());
   for (const auto& database : grant.doubted()) {
     groups_[database].doubtedAt_ = aNow;
   }
   const Time requestedAt{ Duration(grant.sent_us()) };
-  for (const auto& lease : grant.leases()) {
+  for (const auto& lease : grantedLeases_) {
     Group& group = groups_[lease.database()];
     // A grant that was requested before the release may still contain the
     // released lease.
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -10,7 +10,8 @@
 namespace jaydoor::tests {
 namespace {
 
-constexpr std::size_t kMaxQueuedMessages = 64; // per link
+constexpr std::size_t kMaxQueuedMessages = 64;  // per link
+constexpr std::uint64_t kDatagramsPerLoss = 50; // one of these is lost
 
 // Time that a VM is given to catch up after a start, a freeze or an isolation.
 constexpr Duration kCatchUpTime = 4s;
@@ -20,12 +21,14 @@
 
 } // namespace
 
-VoterWorld::VoterWorld(std::uint64_t aSeed, std::size_t aDataFolderCount)
+VoterWorld::VoterWorld(std::uint64_t aSeed,
+                       std::size_t aDataFolderCount,
+                       std::size_t aOtherCount)
   : Timeline(Time(1000s))
   , dataFolderCount_(aDataFolderCount)
   , random_(aSeed)
 {
-  for (std::size_t i = 0; i < dataFolderCount_ + 2; i++) {
+  for (std::size_t i = 0; i < dataFolderCount_ + aOtherCount; i++) {
     Vm vm;
     vm.info_.set_id(fmt::format("10.0.0.{}", i + 1));
     vm.info_.set_host(vm.info_.id());
@@ -75,6 +78,16 @@
   return {};
 }
 
+std::vector<VmId>
+VoterWorld::ListVms() const
+{
+  std::vector<VmId> ids;
+  for (const auto& [id, vm] : vms_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
 // ---- VMs
 
 void
@@ -240,6 +253,25 @@
                  const VmId& aTo,
                  wire::ControlMessage aMessage)
 {
+  if (observer_) {
+    observer_(vms_.at(aFrom).info_, vms_.at(aTo).info_, aMessage);
+  }
+  if (ToleratesLoss(aMessage)) {
+    const bool lost =
+      !CanReach(aFrom, aTo) || random_() % kDatagramsPerLoss == 0;
+    if (!lost && vms_.at(aTo).up_) {
+      Deliver(aTo, now_ + RandomDuration(200us, 2ms), std::move(aMessage));
+    }
+    return;
+  }
+  if (aMessage.has_delta_request()) {
+    requestedDeltas_.insert({ aFrom, aTo });
+  }
+  const bool isPush =
+    aMessage.has_delta() && requestedDeltas_.erase({ aTo, aFrom }) == 0;
+  if (isPush && losesPushes_) {
+    return;
+  }
   MessageQueue& queue = links_[{ aFrom, aTo }];
   if (queue.messages_.size() < kMaxQueuedMessages) {
     queue.messages_.push_back(std::move(aMessage));
@@ -258,28 +290,36 @@
   for (auto& message : queue.messages_) {
     queue.lastDeliveryAt_ =
       std::max(queue.lastDeliveryAt_, now_ + RandomDuration(200us, 2ms));
-    const std::uint64_t startCount = vms_.at(to).startCount_;
-    const auto deliver = std::make_shared<Task>();
-    *deliver = [this,
-                id = to,
-                startCount,
-                deliver = std::weak_ptr<Task>(deliver),
-                message = std::move(message)] {
-      Vm& vm = vms_.at(id);
-      if (!vm.up_ || vm.startCount_ != startCount) {
-        return;
-      }
-      if (now_ < vm.frozenUntil_) {
-        ScheduleAt(vm.frozenUntil_, [task = deliver.lock()] { (*task)(); });
-        return;
-      }
-      StepNode(vm, ControlMessageReceived{ message });
-    };
-    ScheduleAt(queue.lastDeliveryAt_, [deliver] { (*deliver)(); });
+    Deliver(to, queue.lastDeliveryAt_, std::move(message));
   }
   queue.messages_.clear();
 }
 
+// Hands the message to the VM at the given time, or once it is no longer
+// frozen. A message is lost with the run of the VM for which it was meant.
+void
+VoterWorld::Deliver(const VmId& aTo, Time aTime, wire::ControlMessage aMessage)
+{
+  const std::uint64_t startCount = vms_.at(aTo).startCount_;
+  const auto deliver = std::make_shared<Task>();
+  *deliver = [this,
+              id = aTo,
+              startCount,
+              deliver = std::weak_ptr<Task>(deliver),
+              message = std::move(aMessage)] {
+    Vm& vm = vms_.at(id);
+    if (!vm.up_ || vm.startCount_ != startCount) {
+      return;
+    }
+    if (now_ < vm.frozenUntil_) {
+      ScheduleAt(vm.frozenUntil_, [task = deliver.lock()] { (*task)(); });
+      return;
+    }
+    StepNode(vm, ControlMessageReceived{ message });
+  };
+  ScheduleAt(aTime, [deliver] { (*deliver)(); });
+}
+
 // ---- The operator
 
 VmId
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -12,14 +12,16 @@
 //   world.Failures();            // empty if all checks have passed
 //
 // As in the daemon, a link queues a limited number of messages that it can't
-// deliver until the receiver is back. Faults: one VM or all are killed, a disk
-// is lost, a VM is frozen or isolated from all others. The same seed gives the
-// same run.
+// deliver until the receiver is back, and messages that tolerate loss are sent
+// as datagrams, some of which are lost. Faults: one VM or all are killed, a
+// disk is lost, a VM is frozen or isolated from all others. The same seed gives
+// the same run.
 
 #include "control/ControlNode.h"
 #include "tests/Timeline.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <random>
 
@@ -29,8 +31,10 @@
 {
 public:
   // The VMs with a data folder are to become voters; the first three of them
-  // are seeds. Two more VMs have no data folder.
-  explicit VoterWorld(std::uint64_t aSeed, std::size_t aDataFolderCount = 3);
+  // are seeds. The others have no data folder.
+  explicit VoterWorld(std::uint64_t aSeed,
+                      std::size_t aDataFolderCount = 3,
+                      std::size_t aOtherCount = 2);
 
   using Timeline::Run;
   void StopFaults() { injectsFaults_ = false; }
@@ -53,6 +57,24 @@
   std::vector<VmId> ListVoters() const;
   // Number of configurations that were reported as stored.
   std::size_t CountStored() const { return storedCount_; }
+  // Calls the function with each message that is sent over a link or as a
+  // datagram: sender, receiver, message.
+  void SetObserver(std::function<void(const wire::Vm&,
+                                      const wire::Vm&,
+                                      const wire::ControlMessage&)> aObserver)
+  {
+    observer_ = std::move(aObserver);
+  }
+  // The highest version of the configuration on the VM.
+  std::uint64_t DocumentVersion(const VmId& aVm) const
+  {
+    return vms_.at(aVm).node_->State().CurrentDocument().version();
+  }
+  // The highest version that was reported as stored.
+  std::uint64_t HighestStored() const { return highestStored_; }
+  std::vector<VmId> ListVms() const;
+  // Loses all messages with changes that are not an answer to a request.
+  void LosePushes() { losesPushes_ = true; }
 
 private:
   struct Vm
@@ -84,6 +106,7 @@
   void Perform(Vm& aVm, ControlAction& aAction);
   void Send(const VmId& aFrom, const VmId& aTo, wire::ControlMessage aMessage);
   void DeliverQueued(const LinkKey& aKey);
+  void Deliver(const VmId& aTo, Time aTime, wire::ControlMessage aMessage);
   bool CanReach(const VmId& aFrom, const VmId& aTo) const;
   void TickNode(const VmId& aVm, std::uint64_t aStartCount);
   void SendLeaseRequests(const VmId& aVm, std::uint64_t aStartCount);
@@ -111,6 +134,11 @@
   std::size_t storedCount_ = 0;
   std::size_t readCount_ = 0;
   std::vector<std::string> failures_;
+  std::function<
+    void(const wire::Vm&, const wire::Vm&, const wire::ControlMessage&)>
+    observer_;
+  bool losesPushes_ = false;
+  std::set<LinkKey> requestedDeltas_; // sender and receiver of the request
 };
 
 } // namespace jaydoor::tests
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -253,6 +253,25 @@
                                kLeaseTiming.clockMargin_));
   }
 
+  SECTION("a list of leases that the holder has is renewed without the list")
+  {
+    const auto first = table.Grant("vm-a", MakeRequest(), log.state_, kStart);
+    CHECK_FALSE(first->unchanged());
+    wire::LeaseRequest request = MakeRequest();
+    request.set_held_list(first->list_id());
+    const Time later = kStart + 500ms;
+    const auto renewal = table.Grant("vm-a", request, log.state_, later);
+    CHECK(renewal->unchanged());
+    CHECK(renewal->leases_size() == 0);
+    table.Fence(kDatabase, 1);
+    CHECK_FALSE(table.HasNoHolders(kDatabase,
+                                   kStart + kLeaseTiming.inZoneDuration_ +
+                                     kLeaseTiming.clockMargin_));
+    const auto fenced = table.Grant("vm-a", request, log.state_, later);
+    CHECK_FALSE(fenced->unchanged());
+    CHECK(fenced->leases_size() == 0);
+  }
+
   SECTION("no leases are granted while the state has an intent to promote")
   {
     wire::Change intent;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -30,6 +30,8 @@
 // event and sets the time.
 struct GatewayFixture
 {
+  static constexpr std::uint64_t kListId = 7;
+
   Gateway gateway_{ GatewayConfig{ .zone_ = "zone-1" } };
   Time now_{ 1000s };
   GatewayActions actions_;
@@ -102,6 +104,7 @@
     lease.set_server("server-1");
     lease.set_term(1);
     lease.set_duration_us(aLeaseDuration.count());
+    grant.set_list_id(kListId);
     Step(LeaseGrantReceived{ grant });
   }
 
@@ -403,6 +406,27 @@
     CHECK(fixture.Count<ReportSuspicion>() == 1);
   }
 
+  SECTION("a grant that names the list of leases renews all of them")
+  {
+    GatewayFixture fixture(200ms);
+    wire::LeaseGrant renewal;
+    renewal.set_sent_us((fixture.now_ + 150ms).time_since_epoch().count());
+    renewal.set_incarnation(1);
+    renewal.set_holders(1);
+    renewal.set_unchanged(true);
+    renewal.set_list_id(GatewayFixture::kListId);
+    fixture.now_ += 150ms;
+    fixture.Step(LeaseGrantReceived{ renewal });
+    fixture.now_ += 100ms;
+    CHECK(fixture.gateway_.CountLeases(fixture.now_) == 1);
+    fixture.now_ += 100ms;
+    CHECK(fixture.gateway_.CountLeases(fixture.now_) == 0);
+    renewal.set_list_id(GatewayFixture::kListId + 1);
+    renewal.set_sent_us(fixture.now_.time_since_epoch().count());
+    fixture.Step(LeaseGrantReceived{ renewal });
+    CHECK(fixture.gateway_.CountLeases(fixture.now_) == 0);
+  }
+
   SECTION("a lease that expires is logged once")
   {
     GatewayFixture fixture(200ms);
--- a/tests/voter_test.cpp
+++ b/tests/voter_test.cpp
@@ -106,3 +106,54 @@
     }
   }
 }
+
+TEST_CASE("The control traffic of a large fleet")
+{
+  constexpr std::size_t kVoters = 5;
+  constexpr std::size_t kEntryVms = 60;
+  VoterWorld world(1, kVoters, kEntryVms);
+  world.StopFaults();
+  world.Run(12s); // all VMs have joined
+
+  SECTION("a VM keeps links to few others")
+  {
+    std::map<VmId, std::set<VmId>> linkedVms;
+    world.SetObserver([&](const auto& aFrom, const auto& aTo, auto& aMessage) {
+      if (!ToleratesLoss(aMessage) && aFrom.voter().empty()) {
+        linkedVms[aFrom.id()].insert(aTo.id());
+      }
+    });
+    world.Run(20s);
+    for (const auto& [vm, linked] : linkedVms) {
+      INFO(vm);
+      CHECK(linked.size() <= kVoters);
+    }
+  }
+
+  SECTION("a stored configuration crosses between zones once for each zone")
+  {
+    std::size_t pushes = 0;
+    std::size_t crossing = 0;
+    world.SetObserver([&](const auto& aFrom, const auto& aTo, auto& aMessage) {
+      if (aMessage.has_delta()) {
+        pushes++;
+        crossing += aFrom.zone() == aTo.zone() ? 0U : 1U;
+      }
+    });
+    world.Run(10s);
+    CHECK(pushes > 0);
+    CHECK(crossing * 20 < pushes);
+  }
+
+  SECTION("a VM that no push has reached is up to date within a second")
+  {
+    world.LosePushes();
+    world.Run(10s);
+    const std::uint64_t stored = world.HighestStored();
+    world.Run(1s);
+    for (const auto& id : world.ListVms()) {
+      INFO(id);
+      CHECK(world.DocumentVersion(id) >= stored);
+    }
+  }
+}
