VMs that know no other live one probe their seeds at once

Cause: after a power loss all VMs start within a second of each other, and a VM's first probe often meets a seed that is not up yet; the next one followed a second later. Ruled out: the election, which took 0.2 s once voters had joined.

A VM without a live member now probes a seed every 50 ms; the interval of 1 s stays once one is known.

--- a/control/Membership.cpp
+++ b/control/Membership.cpp
@@ -20,6 +20,9 @@
 
 // Time between two probes of seeds that are not live members.
 constexpr Duration kSeedProbeInterval = 1s;
+// The same while this VM knows of no live member. Short, because the seeds may
+// be starting at the same time, and a probe of a VM that is not up yet is lost.
+constexpr Duration kJoinProbeInterval = 50ms;
 
 } // namespace
 
@@ -143,7 +146,8 @@
     ProbeNextMember(aNow, aOut);
   }
   if (aNow >= nextSeedProbeAt_) {
-    nextSeedProbeAt_ = aNow + kSeedProbeInterval;
+    nextSeedProbeAt_ =
+      aNow + (HasLiveMember() ? kSeedProbeInterval : kJoinProbeInterval);
     ProbeMissingSeed(aNow, aOut);
   }
 }
@@ -169,6 +173,14 @@
   }
 }
 
+bool
+Membership::HasLiveMember() const
+{
+  return std::any_of(members_.begin(), members_.end(), [](const auto& aEntry) {
+    return aEntry.second.state_ != MemberState::Dead;
+  });
+}
+
 // Probes a random seed that is not a live member. This goes on for as long as a
 // seed is missing, so that parts of the fleet that were separated by a network
 // partition rejoin.
--- a/control/Membership.h
+++ b/control/Membership.h
@@ -114,6 +114,7 @@
 
   std::vector<VmId> ShuffleLiveMembers();
   void ProbeNextMember(Time aNow, std::vector<SendToVm>& aOut);
+  bool HasLiveMember() const;
   void ProbeMissingSeed(Time aNow, std::vector<SendToVm>& aOut);
   void SendProbe(const VmId& aTo,
                  PendingProbe aPending,
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -88,6 +88,17 @@
   return ids;
 }
 
+std::size_t
+VoterWorld::CountJoined() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(vms_.begin(), vms_.end(), [](const auto& aEntry) {
+      const Vm& vm = aEntry.second;
+      return vm.up_ && vm.node_->IsStateProven() &&
+             vm.node_->Members().ListLiveVms().size() > 1;
+    }));
+}
+
 // ---- VMs
 
 void
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -73,6 +73,9 @@
   // The highest version that was reported as stored.
   std::uint64_t HighestStored() const { return highestStored_; }
   std::vector<VmId> ListVms() const;
+  // Number of VMs that are up, whose state is proven and that know of at least
+  // one other live VM.
+  std::size_t CountJoined() const;
   // Loses all messages with changes that are not an answer to a request.
   void LosePushes() { losesPushes_ = true; }
 
--- a/tests/voter_test.cpp
+++ b/tests/voter_test.cpp
@@ -157,3 +157,18 @@
     }
   }
 }
+
+TEST_CASE("All VMs join again soon after a power loss")
+{
+  constexpr std::size_t kVoters = 5;
+  constexpr std::size_t kEntryVms = 20;
+  for (std::uint64_t seed = 1; seed <= 10; seed++) {
+    VoterWorld world(seed, kVoters, kEntryVms);
+    world.StopFaults();
+    world.Run(10s);
+    world.RestartAll(1s); // the last VM starts after 1.3 s
+    world.Run(1300ms + 500ms);
+    INFO("seed " << seed);
+    CHECK(world.CountJoined() == kVoters + kEntryVms);
+  }
+}
