--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -75,6 +75,61 @@
 
 } // namespace
 
+TEST_CASE("What an overloaded server is spared")
+{
+  constexpr std::size_t kLevels = 3;
+  constexpr double kFirstTicket = 0.01; // shed before almost all others
+  LoadShedder shedder;
+  Time now(1000s);
+  const auto record = [&](bool aIsSlow, int aCount) {
+    for (int i = 0; i < aCount; i++) {
+      now += 10ms;
+      shedder.RecordResponse(aIsSlow, kLevels, now);
+    }
+  };
+
+  SECTION("nothing while single answers are slow")
+  {
+    for (int i = 0; i < 100; i++) {
+      record(true, 1);
+      record(false, 9);
+      CHECK_FALSE(shedder.IsShedding(now));
+    }
+  }
+
+  SECTION("the least urgent level first, the most urgent never")
+  {
+    record(true, 4);
+    CHECK(shedder.Sheds(0, kFirstTicket, now));
+    CHECK_FALSE(shedder.Sheds(1, kFirstTicket, now));
+    record(true, 100);
+    CHECK(shedder.Sheds(0, 1 - kFirstTicket, now));
+    CHECK(shedder.Sheds(1, 1 - kFirstTicket, now));
+    CHECK_FALSE(shedder.Sheds(2, kFirstTicket, now));
+
+    SECTION("until answers are fast again")
+    {
+      record(false, 60);
+      CHECK_FALSE(shedder.IsShedding(now));
+    }
+
+    SECTION("or a minute has passed without an answer")
+    {
+      now += 60s;
+      CHECK_FALSE(shedder.IsShedding(now));
+    }
+  }
+
+  SECTION("nothing if only one level is in use")
+  {
+    for (int i = 0; i < 100; i++) {
+      now += 10ms;
+      shedder.RecordResponse(true, 1, now);
+    }
+    CHECK_FALSE(shedder.Sheds(0, kFirstTicket, now));
+  }
+}
+
 TEST_CASE("All replicas fall behind under load", "[load]")
 {
   constexpr std::chrono::seconds kMeasured(12);
