--- a/tests/LoadWorld.cpp
+++ b/tests/LoadWorld.cpp
@@ -11,7 +11,6 @@
 constexpr std::size_t kServers = 3;
 constexpr Duration kNetDelay = 1ms;
 constexpr Duration kOpenWork = 12ms; // of a slot, for a new connection
-constexpr Duration kRetryDelay = 20ms;
 constexpr std::size_t kConnectionLimit = 140;
 
 std::string
@@ -276,7 +275,7 @@
 LoadWorld::Arrive(std::size_t aClass)
 {
   const auto mean = Duration(static_cast<Duration::rep>(
-    1'000'000 / config_.classes_[aClass].perSecond_));
+    1'000'000 / (config_.classes_[aClass].perSecond_ * rateFactor_)));
   ScheduleAfter(DrawExponential(mean), [this, aClass] { Arrive(aClass); });
   const std::uint64_t id = nextCaller_++;
   callers_[id] = { aClass, now_, config_.retries_, false, measuring_ };
@@ -302,11 +301,11 @@
   const bool refused = aReply.error_ == SessionError::Overloaded;
   falseRefusals_ += refused && caller.ran_ ? 1U : 0U;
   if (refused && caller.triesLeft_ > 0 &&
-      taken + kRetryDelay < kind.deadline_) {
+      taken + config_.retryDelay_ < kind.deadline_) {
     caller.triesLeft_--;
     const std::uint64_t id = nextCaller_++;
     callers_[id] = caller;
-    ScheduleAfter(kRetryDelay, [this, id] { Try(id); });
+    ScheduleAfter(config_.retryDelay_, [this, id] { Try(id); });
     return;
   }
   if (!caller.measured_) {
--- a/tests/LoadWorld.h
+++ b/tests/LoadWorld.h
@@ -44,6 +44,7 @@
   std::size_t queue_ = 32; // of each server
   std::vector<LoadClass> classes_;
   int retries_ = 2;
+  Duration retryDelay_ = 20ms; // from a refusal to the next try
 };
 
 struct LoadResult
@@ -69,6 +70,8 @@
   using Timeline::Run;
   // From now on replicas lack recent commits.
   void SetReplicasBehind(bool aBehind) { replicasBehind_ = aBehind; }
+  // Multiplies the rates of all classes from now on.
+  void SetRateFactor(double aFactor) { rateFactor_ = aFactor; }
   // Forgets all results so far.
   void StartMeasuring();
   // By class, of the callers that arrived since StartMeasuring().
@@ -126,6 +129,7 @@
   std::uint64_t nextCaller_ = 1;
   std::vector<LoadResult> results_;
   bool replicasBehind_ = false;
+  double rateFactor_ = 1;
   bool measuring_ = false;
   std::size_t falseRefusals_ = 0;
 };
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -134,10 +134,13 @@
 {
   constexpr std::chrono::seconds kMeasured(12);
   constexpr std::uint64_t kSeeds = 12;
+  // Callers that are refused wait before they try again, or do not.
+  const Duration retryDelay = GENERATE(20'000us, 0us);
   double shareOfBest = 0;
   double feesInTarget = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; seed++) {
-    const LoadConfig config = MakeLargeFleet(seed);
+    LoadConfig config = MakeLargeFleet(seed);
+    config.retryDelay_ = retryDelay;
     LoadWorld world(config);
     world.Run(5s);
     world.SetReplicasBehind(true);
@@ -155,6 +158,25 @@
   CHECK(feesInTarget >= 0.9);
 }
 
+TEST_CASE("More callers than all servers of a group can serve", "[load]")
+{
+  constexpr std::uint64_t kSeeds = 6;
+  constexpr double kBurst = 3.5; // the servers can carry 2.5 times the load
+  double feesInTarget = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; seed++) {
+    LoadWorld world(MakeLargeFleet(seed));
+    world.Run(5s);
+    world.SetRateFactor(kBurst);
+    world.Run(2s);
+    world.StartMeasuring();
+    world.Run(6s);
+    feesInTarget += world.Results()[0].InTargetShare() / kSeeds;
+    INFO("seed " << seed);
+    CHECK(world.FalseRefusals() == 0);
+  }
+  CHECK(feesInTarget >= 0.9);
+}
+
 TEST_CASE("Load that the servers can carry is not refused", "[load]")
 {
   const LoadConfig config = MakeLargeFleet(1);
