Idle links to servers are kept, and log positions pass through the leader

A VM of 118 uses a server about once in two seconds, and a link was closed after two seconds. With one link a VM and server, a transaction also held up every other statement of its VM. And each VM had to ask each primary for a log position of its own every 1.5 s before a replica could serve a read.

The last idle link to a server is kept, unless the servers' limits leave less than one link a VM. Links are returned at once while connections are scarce: just after the start, and after a server refused one. A VM whose links all belong to transactions may open up to two more. Positions that primaries state travel with lease requests and grants (control/PrimaryPoints).

--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -20,6 +20,7 @@
 #include "control/Failover.h"
 #include "control/LeaseTable.h"
 #include "control/Membership.h"
+#include "control/PrimaryPoints.h"
 #include "control/Promoter.h"
 #include "control/Raft.h"
 
@@ -388,6 +389,7 @@
   Promoter promoter_;
   Failover failover_;
   LeaseTable leases_;
+  PrimaryPoints primaryPoints_;
   OwnerMap owners_;          // over the live VMs
   std::optional<Raft> raft_; // none on a VM without a data folder
 
--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -65,6 +65,8 @@
     grant->add_doubted(std::move(database));
   }
   grant->set_applied(state_.Index());
+  primaryPoints_.Record(aRequest, aNow);
+  primaryPoints_.AddTo(aHolder, *grant, aNow);
   if (aHolder == config_.self_.id()) {
     aOut.push_back(DeliverLeaseGrant{ std::move(*grant) });
     return;
@@ -83,6 +85,7 @@
   if (!leasesReset_) {
     leasesReset_ = true;
     leases_.Reset(state_, raft_->Term(), aNow);
+    primaryPoints_.Reset(raft_->Term());
   }
 }
 
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -390,6 +390,7 @@
     // No statements before this time: it refused one for lack of capacity, or
     // refused to begin a transaction because it was not the primary.
     Time fullUntil_;
+    Time connectionLimitAt_; // it last refused a connection over its limit
   };
 
   struct Lease
@@ -423,8 +424,17 @@
     std::optional<Time> leaseDrainUntil_;
     std::set<QueueKey> queue_; // waiting statements
     Time doubtedAt_;           // the leader said that a VM suspects the primary
-    bool suspected_ = false;   // as last reported to the leader
-    Time reportedAt_;          // last report about suspected_
+    // Position of the primary's log that is to be reported to the leader.
+    std::optional<wire::ReportedPoint> pointToReport_;
+    bool suspected_ = false; // as last reported to the leader
+    Time reportedAt_;        // last report about suspected_
+  };
+
+  // The leader's time in a lease grant.
+  struct LeaderTime
+  {
+    Time receivedAt_;         // by this VM's clock
+    std::int64_t leaderUs_{}; // by the leader's clock
   };
 
   // A server that can run a statement now, and what the statement requires.
@@ -499,7 +509,9 @@
              Time aNow) const;
   bool IsShedByAll(const Work& aWork, const Group& aGroup, Time aNow) const;
   std::size_t SlotShare(const Server& aServer) const;
+  std::size_t LinkBudget(const Server& aServer) const;
   std::size_t LinkShare(const Server& aServer) const;
+  bool MayOpenLink(const Server& aServer) const;
   void OpenLink(Server& aServer, Time aNow, GatewayActions& aOut);
   void SendWork(WorkId aId,
                 ServerLinkId aLink,
@@ -558,6 +570,10 @@
   // Leases: GatewayLeases.cpp
   bool HoldsLease(const Group& aGroup, std::uint64_t aTerm, Time aNow) const;
   bool IsLeaseUsed(const DatabaseId& aGroup, std::uint64_t aTerm) const;
+  void RecordLeaderTime(const wire::LeaseGrant& aGrant, Time aNow);
+  void ReportPrimaryPoint(const DatabaseId& aGroup,
+                          Time aSentAt,
+                          LogPoint aPoint);
   void TickLeases(Time aNow, GatewayActions& aOut);
   void FinishRelease(const DatabaseId& aGroup, Time aNow, GatewayActions& aOut);
   void AbortLeasedTransactions(const DatabaseId& aGroup,
@@ -570,6 +586,7 @@
   void TickSuspicions(Time aNow, GatewayActions& aOut);
   void TickDrain(Time aNow, GatewayActions& aOut);
   void TickLinks(Time aNow, GatewayActions& aOut);
+  Duration IdleLinkTimeout(const Server& aServer, Time aNow) const;
   void FailWork(WorkId aId,
                 SessionError aError,
                 std::string aText,
@@ -604,7 +621,10 @@
   // The last complete list of leases that the leader sent, and its id.
   google::protobuf::RepeatedPtrField<wire::PrimaryLease> grantedLeases_;
   std::uint64_t grantedListId_ = kNoLeaseList;
-  Time tickedAt_; // last tick
+  std::uint64_t leaderTerm_ = 0;       // of the last grant
+  std::deque<LeaderTime> leaderTimes_; // of this leader's grants, newest last
+  std::optional<Time> startedAt_;      // first tick
+  Time tickedAt_;                      // last tick
   std::optional<Time> drainingSince_;
   std::optional<Time> isolatedSince_; // cut off for longer than the limit
   Time lastNotCutOffAt_;              // last tick at which it was not cut off
--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t kLinksWithoutLimit = 4;
 // Links to one server that may be in the process of being opened.
 constexpr std::size_t kMaxOpeningLinks = 2;
+// Links beyond this VM's share while all others belong to transactions: a
+// caller that rests inside one must not hold up the rest.
+constexpr std::size_t kLinksBesideTransactions = 2;
 // A link that holds more prepared statements is reset before its next use.
 constexpr std::size_t kMaxPreparedPerLink = 128;
 
@@ -211,19 +214,37 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(share + 0.999));
 }
 
-// Returns how many connections this VM may have to the server.
+// Returns how many connections all VMs together may have to the server.
 std::size_t
-Gateway::LinkShare(const Server& aServer) const
+Gateway::LinkBudget(const Server& aServer) const
 {
   const std::size_t limit =
     catalog_ ? catalog_->ConnectionLimit(aServer.info_.database()) : 0;
-  if (limit == 0) {
-    return kLinksWithoutLimit;
+  return limit == 0
+           ? kLinksWithoutLimit * holders_
+           : static_cast<std::size_t>(static_cast<double>(limit) * kLinkShare);
+}
+
+// Returns how many connections this VM may have to the server.
+std::size_t
+Gateway::LinkShare(const Server& aServer) const
+{
+  return std::max<std::size_t>(1, LinkBudget(aServer) / holders_);
+}
+
+// Returns true if this VM's number of links to the server allows one more.
+bool
+Gateway::MayOpenLink(const Server& aServer) const
+{
+  const std::size_t share = LinkShare(aServer);
+  if (aServer.links_.size() < share) {
+    return true;
   }
-  return std::max<std::size_t>(
-    1,
-    static_cast<std::size_t>(static_cast<double>(limit) * kLinkShare /
-                             static_cast<double>(holders_)));
+  return aServer.links_.size() < share + kLinksBesideTransactions &&
+         std::all_of(
+           aServer.links_.begin(), aServer.links_.end(), [&](ServerLinkId aId) {
+             return links_.at(aId).state_ == LinkState::Pinned;
+           });
 }
 
 // Returns true if the statement can be sent to the server now, or as soon as a
@@ -244,8 +265,7 @@
   }
   return !aServer.idleLinks_.empty() ||
          (aNow >= aServer.blockedUntil_ &&
-          aServer.links_.size() < LinkShare(aServer) &&
-          aServer.openingCount_ < kMaxOpeningLinks);
+          aServer.openingCount_ < kMaxOpeningLinks && MayOpenLink(aServer));
 }
 
 // Returns the expected time until an answer, plus the costs of another zone, of
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -117,6 +117,7 @@
   Server& server = servers_.at(id);
   if (aEvent.error_ == SessionError::ConnectionLimit) {
     server.blockedUntil_ = aNow + kConnectionLimitDelay;
+    server.connectionLimitAt_ = aNow;
     aOut.push_back(
       WriteLogEvent{ Event::ServerFull,
                      fmt::format("server={} database={} own={} share={}",
@@ -290,10 +291,12 @@
   if (aPoint == LogPoint{}) {
     return;
   }
-  Group& group = groups_.at(servers_.at(aLink.server_).info_.database());
+  const DatabaseId& name = servers_.at(aLink.server_).info_.database();
+  Group& group = groups_.at(name);
   if (aLink.server_ != group.primary_) {
     group.log_.RecordReplicaPoint(aLink.server_, aNow, aPoint);
   } else if (aLink.sentLeaseTerm_ != 0 && aLink.sentLeaseTerm_ == group.term_) {
+    ReportPrimaryPoint(name, aLink.sentAt_, aPoint);
     group.log_.RecordPrimaryPoint(aLink.sentAt_, aPoint);
   }
 }
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -53,9 +53,17 @@
 // A statement without an answer stops counting as running after this time: it
 // is longer than a server's queueing and execution take.
 constexpr Duration kSlotTimeout = 300ms;
-// Idle links are closed early, because they use up the connection limit: a
-// server counts the connections of a VM that lost power until it notices.
+// An idle link is closed after this time, unless it is the last one to its
+// server: opening one takes time of a slot.
 constexpr Duration kIdleLinkTimeout = 2s;
+constexpr Duration kLastIdleLinkTimeout = 20s;
+// The same while a server may have no connection left for other VMs: they take
+// turns.
+constexpr Duration kScarceIdleLinkTimeout = 30ms;
+// Connections are scarce for this long after the start, and after a server
+// refused one over its limit. A server counts the connections of a VM that lost
+// power until it notices, which takes about as long.
+constexpr Duration kScarceLinksWindow = 2500ms;
 
 } // namespace
 
@@ -171,6 +179,7 @@
 void
 Gateway::Handle(GatewayTick&, Time aNow, GatewayActions& aOut)
 {
+  startedAt_ = startedAt_.value_or(aNow);
   tickedAt_ = aNow;
   TickWork(aNow, aOut);
   TickPendingSessions(aNow, aOut);
@@ -387,6 +396,21 @@
          work->second.links_.contains(aId);
 }
 
+// Returns how long a link to the server may be idle.
+Duration
+Gateway::IdleLinkTimeout(const Server& aServer, Time aNow) const
+{
+  const bool areScarce =
+    aNow - startedAt_.value_or(aNow) < kScarceLinksWindow ||
+    aNow - aServer.connectionLimitAt_ < kScarceLinksWindow;
+  if (areScarce) {
+    return kScarceIdleLinkTimeout;
+  }
+  const bool isEnoughForAll = LinkBudget(aServer) >= holders_;
+  return isEnoughForAll && aServer.links_.size() == 1 ? kLastIdleLinkTimeout
+                                                      : kIdleLinkTimeout;
+}
+
 // Closes links that do not open or answer in time, and links that are idle for
 // too long.
 void
@@ -409,7 +433,8 @@
     if (openTimedOut || isSilent) {
       lost.push_back(id);
     } else if (link.state_ == LinkState::Idle &&
-               aNow - link.heardAt_ > kIdleLinkTimeout) {
+               aNow - link.heardAt_ >
+                 IdleLinkTimeout(servers_.at(link.server_), aNow)) {
       expiredLinks.push_back(id);
     }
   }
@@ -462,9 +487,9 @@
     const bool isDoubted = aNow - group.doubtedAt_ <= kDoubtWindow;
     const bool isSilent =
       (isWaiting || isDoubted) && aNow - primary->heardAt_ > kSilenceTimeout;
-    const bool canOpen = primary->openingCount_ == 0 &&
-                         aNow >= primary->blockedUntil_ &&
-                         primary->links_.size() <= LinkShare(*primary);
+    const bool canOpen =
+      primary->openingCount_ == 0 && aNow >= primary->blockedUntil_ &&
+      (MayOpenLink(*primary) || primary->links_.size() <= LinkShare(*primary));
     if (isSilent && primary->failures_ == 0 && canOpen) {
       // A new connection shows whether the primary or only the links failed.
       OpenLink(*primary, aNow, aOut);
--- a/gateway/GroupLog.cpp
+++ b/gateway/GroupLog.cpp
@@ -93,6 +93,12 @@
   return *found;
 }
 
+Time
+GroupLog::NewestPointAt() const
+{
+  return primaryPoints_.empty() ? Time{} : primaryPoints_.back().at_;
+}
+
 bool
 GroupLog::IsExpectedToHold(const ServerId& aServer,
                            const PrimaryPoint& aPrimaryPoint,
--- a/gateway/GroupLog.h
+++ b/gateway/GroupLog.h
@@ -44,6 +44,8 @@
   // Returns the lowest recorded point that proves data no older than
   // `aOldest`, or nothing if no point was recorded since then.
   std::optional<PrimaryPoint> FindPrimaryPoint(Time aOldest) const;
+  // Returns the time that the newest point proves, or Time{} if there is none.
+  Time NewestPointAt() const;
   // Returns the lowest point that the primary has reported in the current
   // term. It covers all commits of earlier terms that the current one kept.
   std::optional<LogPoint> TermStart() const { return termStart_; }
--- a/tests/LoadWorld.cpp
+++ b/tests/LoadWorld.cpp
@@ -11,7 +11,6 @@
 constexpr std::size_t kServers = 3;
 constexpr Duration kNetDelay = 1ms;
 constexpr Duration kOpenWork = 12ms; // of a slot, for a new connection
-constexpr std::size_t kConnectionLimit = 140;
 
 std::string
 ServerName(std::size_t aServer)
@@ -19,12 +18,21 @@
   return fmt::format("server-{}", aServer + 1);
 }
 
+// Returns true for a caller's statement, which takes time in a slot.
+bool
+NeedsSlot(const ServerCommand& aCommand)
+{
+  return aCommand.kind_ == CommandKind::Forward ||
+         aCommand.kind_ == CommandKind::Execute;
+}
+
 CatalogPtr
 MakeCatalog(const LoadConfig& aConfig)
 {
   auto catalog = std::make_shared<Catalog>();
   catalog->version_ = 1;
-  catalog->connectionLimits_[kGroup] = kConnectionLimit;
+  catalog->connectionLimits_[kGroup] =
+    static_cast<std::uint32_t>(aConfig.connectionLimit_);
   for (const auto& kind : aConfig.classes_) {
     CatalogDatabase database;
     database.name_ = kind.name_;
@@ -71,15 +79,16 @@
   : Timeline(Time(1000s))
   , config_(std::move(aConfig))
   , random_(config_.seed_)
+  , view_(MakeView(config_))
+  , catalog_(MakeCatalog(config_))
+  , gateways_(config_.gateways_)
+  , runs_(config_.gateways_)
   , servers_(kServers)
   , results_(config_.classes_.size())
 {
-  const FleetViewPtr view = MakeView(config_);
-  const CatalogPtr catalog = MakeCatalog(config_);
+  primaryPoints_.Reset(1);
   for (std::size_t i = 0; i < config_.gateways_; i++) {
-    gateways_.push_back(std::make_unique<Gateway>(
-      GatewayConfig{ .zone_ = fmt::format("zone-{}", i % 5 + 1) }));
-    StepGateway(i, FleetOrCatalogChanged{ view, catalog });
+    StartGateway(i);
     ScheduleAfter(Duration(random_() % 10'000), [this, i] { TickGateway(i); });
   }
   for (std::size_t i = 0; i < config_.classes_.size(); i++) {
@@ -92,6 +101,8 @@
 {
   measuring_ = true;
   results_.assign(config_.classes_.size(), {});
+  connectionsOpened_ = 0;
+  connectionsRefused_ = 0;
 }
 
 double
@@ -106,6 +117,16 @@
   return earned / owed;
 }
 
+std::size_t
+LoadWorld::Asked() const
+{
+  std::size_t asked = 0;
+  for (const auto& result : results_) {
+    asked += result.asked_;
+  }
+  return asked;
+}
+
 Duration
 LoadWorld::DrawExponential(Duration aMean)
 {
@@ -116,9 +137,44 @@
 
 // ---- Gateways
 
+void
+LoadWorld::StartGateway(std::size_t aGateway)
+{
+  runs_[aGateway] = ++nextRun_;
+  gateways_[aGateway] = std::make_unique<Gateway>(
+    GatewayConfig{ .zone_ = fmt::format("zone-{}", aGateway % 5 + 1),
+                   .incarnation_ = runs_[aGateway] });
+  StepGateway(aGateway, FleetOrCatalogChanged{ view_, catalog_ });
+}
+
+void
+LoadWorld::RestartGateways(Duration aPause)
+{
+  for (auto& [link, connection] : connections_) {
+    ScheduleAfter(config_.lingerTime_, [this, key = link] { Disconnect(key); });
+  }
+  std::vector<std::uint64_t> lost;
+  for (std::size_t i = 0; i < gateways_.size(); i++) {
+    gateways_[i].reset();
+    runs_[i] = 0;
+    ScheduleAfter(aPause, [this, i] { StartGateway(i); });
+  }
+  for (const auto& [id, caller] : callers_) {
+    lost.push_back(id);
+  }
+  SessionReply broken;
+  broken.error_ = SessionError::Aborted;
+  for (const std::uint64_t id : lost) {
+    FinishTry(id, broken);
+  }
+}
+
 void
 LoadWorld::StepGateway(std::size_t aGateway, GatewayEvent aEvent)
 {
+  if (!gateways_[aGateway]) {
+    return;
+  }
   GatewayActions actions;
   gateways_[aGateway]->Step(std::move(aEvent), now_, actions);
   for (auto& action : actions) {
@@ -126,6 +182,17 @@
   }
 }
 
+// Passes an event on to the run of a gateway, unless that has ended.
+void
+LoadWorld::StepRun(std::uint64_t aRun, GatewayEvent aEvent)
+{
+  const auto found = std::find(runs_.begin(), runs_.end(), aRun);
+  if (found != runs_.end()) {
+    StepGateway(static_cast<std::size_t>(found - runs_.begin()),
+                std::move(aEvent));
+  }
+}
+
 void
 LoadWorld::TickGateway(std::size_t aGateway)
 {
@@ -134,7 +201,7 @@
 }
 
 wire::LeaseGrant
-LoadWorld::MakeGrant(const wire::LeaseRequest& aRequest) const
+LoadWorld::MakeGrant(std::size_t aGateway, const wire::LeaseRequest& aRequest)
 {
   wire::LeaseGrant grant;
   grant.set_sent_us(aRequest.sent_us());
@@ -145,60 +212,92 @@
   lease.set_server(ServerName(0));
   lease.set_term(1);
   lease.set_duration_us(Duration(7s).count());
+  primaryPoints_.Record(aRequest, now_);
+  primaryPoints_.AddTo(fmt::format("vm-{}", aGateway), grant, now_);
   return grant;
 }
 
 void
 LoadWorld::Perform(std::size_t aGateway, GatewayAction& aAction)
 {
+  const std::uint64_t run = runs_[aGateway];
   if (auto* accept = std::get_if<AcceptSession>(&aAction)) {
-    SessionStatement statement;
-    Caller& caller = callers_.at(accept->session_);
-    const LoadClass& kind = config_.classes_[caller.class_];
-    const bool writes =
-      std::uniform_real_distribution<>(0, 1)(random_) < kind.writeShare_;
-    statement.kind_ = writes ? StatementKind::Write : StatementKind::Read;
-    statement.id_ = fmt::format("{}", accept->session_);
-    statement.text_ = writes ? "write" : "read";
-    ScheduleAfter(1us, [this, aGateway, id = accept->session_, statement] {
-      StepGateway(aGateway, SessionStatementReceived{ id, statement });
-    });
+    const std::uint64_t id = accept->session_;
+    const Caller& caller = callers_.at(id);
+    const bool reads = !caller.writes_;
+    SendNext(id,
+             caller.transaction_
+               ? (reads ? StatementKind::BeginReadOnly : StatementKind::Begin)
+             : reads ? StatementKind::Read
+                     : StatementKind::Write);
   } else if (auto* reply = std::get_if<SendSessionReply>(&aAction)) {
-    ScheduleAfter(1us, [this, aGateway, id = reply->session_, reply = *reply] {
-      StepGateway(aGateway, SessionEnded{ id });
-      HandleReply(id, reply.reply_);
+    ScheduleAfter(1us, [this, id = reply->session_, reply = reply->reply_] {
+      HandleReply(id, reply);
     });
   } else if (auto* open = std::get_if<OpenServerLink>(&aAction)) {
-    const LinkKey key{ aGateway, open->link_ };
     std::size_t server = 0;
     while (ServerName(server) != open->server_) {
       server++;
     }
-    serverByLink_[key] = server;
-    ScheduleAfter(kNetDelay, [this, key, server] {
-      Submit(server, Job{ .link_ = key, .command_ = {}, .opens_ = true });
+    ScheduleAfter(kNetDelay, [this, key = LinkKey{ run, open->link_ }, server] {
+      Connect(key, server);
+    });
+  } else if (auto* close = std::get_if<CloseServerLink>(&aAction)) {
+    ScheduleAfter(kNetDelay, [this, key = LinkKey{ run, close->link_ }] {
+      Disconnect(key);
     });
   } else if (auto* send = std::get_if<SendServerCommand>(&aAction)) {
-    const LinkKey key{ aGateway, send->link_ };
+    const LinkKey key{ run, send->link_ };
     ScheduleAfter(kNetDelay, [this, key, command = send->command_] {
-      Submit(serverByLink_.at(key),
-             Job{ .link_ = key, .command_ = command, .opens_ = false });
+      if (const auto found = connections_.find(key);
+          found != connections_.end()) {
+        Submit(found->second.server_,
+               Job{ .link_ = key, .command_ = command, .opens_ = false });
+      }
     });
   } else if (auto* request = std::get_if<SendLeaseRequest>(&aAction)) {
-    ScheduleAfter(kNetDelay,
-                  [this, aGateway, grant = MakeGrant(request->request_)] {
-                    StepGateway(aGateway, LeaseGrantReceived{ grant });
+    ScheduleAfter(2 * kNetDelay,
+                  [this, run, grant = MakeGrant(aGateway, request->request_)] {
+                    StepRun(run, LeaseGrantReceived{ grant });
                   });
   }
 }
 
 // ---- Servers
 
+void
+LoadWorld::Connect(const LinkKey& aLink, std::size_t aServer)
+{
+  Server& server = servers_[aServer];
+  connectionsOpened_++;
+  if (server.connections_ >= config_.connectionLimit_) {
+    connectionsRefused_++;
+    ScheduleAfter(kNetDelay, [this, aLink] {
+      StepRun(aLink.first,
+              ServerLinkLost{ aLink.second, SessionError::ConnectionLimit });
+    });
+    return;
+  }
+  server.connections_++;
+  connections_[aLink] = { aServer, false };
+  Submit(aServer, Job{ .link_ = aLink, .command_ = {}, .opens_ = true });
+}
+
+void
+LoadWorld::Disconnect(const LinkKey& aLink)
+{
+  if (const auto found = connections_.find(aLink);
+      found != connections_.end()) {
+    servers_[found->second.server_].connections_--;
+    connections_.erase(found);
+  }
+}
+
 void
 LoadWorld::Answer(const LinkKey& aLink, ServerAnswer aAnswer)
 {
   ScheduleAfter(kNetDelay, [this, aLink, answer = std::move(aAnswer)] {
-    StepGateway(aLink.first, ServerLinkAnswered{ aLink.second, answer });
+    StepRun(aLink.first, ServerLinkAnswered{ aLink.second, answer });
   });
 }
 
@@ -206,18 +305,29 @@
 LoadWorld::Submit(std::size_t aServer, Job aJob)
 {
   Server& server = servers_[aServer];
+  Connection& connection = connections_.at(aJob.link_);
   const bool isReplica = aServer != 0;
-  if (!aJob.opens_ && server.queue_.size() >= config_.queue_) {
-    ServerAnswer answer;
-    answer.error_ = SessionError::Overloaded;
+  const bool takesSlot = aJob.opens_ || NeedsSlot(aJob.command_);
+  ServerAnswer answer;
+  answer.state_ =
+    connection.inTransaction_ ? TransactionState::Open : TransactionState::Idle;
+  if (isReplica && replicasBehind_ && !aJob.opens_ &&
+      aJob.command_.minPoint_ != LogPoint{}) {
+    answer.error_ = SessionError::Behind;
     Answer(aJob.link_, std::move(answer));
     return;
   }
-  const bool lacksPoint =
-    isReplica && replicasBehind_ && aJob.command_.minPoint_ != LogPoint{};
-  if (!aJob.opens_ && lacksPoint) {
-    ServerAnswer answer;
-    answer.error_ = SessionError::Behind;
+  if (!takesSlot) {
+    const CommandKind kind = aJob.command_.kind_;
+    connection.inTransaction_ =
+      kind == CommandKind::Begin || kind == CommandKind::BeginReadOnly;
+    answer.state_ = connection.inTransaction_ ? TransactionState::Open
+                                              : TransactionState::Idle;
+    Answer(aJob.link_, std::move(answer));
+    return;
+  }
+  if (!aJob.opens_ && server.queue_.size() >= config_.queue_) {
+    answer.error_ = SessionError::Overloaded;
     Answer(aJob.link_, std::move(answer));
     return;
   }
@@ -241,7 +351,8 @@
                               : config_.classes_[caller->second.class_].work_;
       work = DrawExponential(mean);
       if (caller != callers_.end()) {
-        caller->second.ran_ = true;
+        caller->second.ran_ =
+          !caller->second.transaction_ || job.command_.text_ == "commit";
       }
     }
     ScheduleAfter(work, [this, aServer, job] { FinishJob(aServer, job); });
@@ -253,17 +364,23 @@
 {
   Server& server = servers_[aServer];
   server.running_--;
-  if (aJob.opens_) {
+  const auto connection = connections_.find(aJob.link_);
+  if (connection != connections_.end() && aJob.opens_) {
     ScheduleAfter(kNetDelay, [this, link = aJob.link_] {
-      StepGateway(link.first, ServerLinkOpened{ link.second });
+      StepRun(link.first, ServerLinkOpened{ link.second });
     });
-  } else {
-    servers_[0].position_ += aJob.command_.text_ == "write" ? 1U : 0U;
+  } else if (connection != connections_.end()) {
+    const std::string& text = aJob.command_.text_;
+    servers_[0].position_ += text == "write" && aServer == 0 ? 1U : 0U;
     server.position_ = replicasBehind_ && aServer != 0 ? server.position_
                                                        : servers_[0].position_;
+    bool& inTransaction = connection->second.inTransaction_;
+    inTransaction = inTransaction && text != "commit";
     ServerAnswer answer;
     answer.signature_ = "signed";
     answer.point_ = { 1, server.position_ };
+    answer.state_ =
+      inTransaction ? TransactionState::Open : TransactionState::Idle;
     Answer(aJob.link_, std::move(answer));
   }
   RunNext(aServer);
@@ -274,38 +391,114 @@
 void
 LoadWorld::Arrive(std::size_t aClass)
 {
-  const auto mean = Duration(static_cast<Duration::rep>(
-    1'000'000 / (config_.classes_[aClass].perSecond_ * rateFactor_)));
+  const LoadClass& kind = config_.classes_[aClass];
+  const auto mean = Duration(
+    static_cast<Duration::rep>(1'000'000 / (kind.perSecond_ * rateFactor_)));
   ScheduleAfter(DrawExponential(mean), [this, aClass] { Arrive(aClass); });
+  std::uniform_real_distribution<> draw(0, 1);
   const std::uint64_t id = nextCaller_++;
-  callers_[id] = { aClass, now_, config_.retries_, false, measuring_ };
+  Caller& caller = callers_[id];
+  caller.class_ = aClass;
+  caller.arrivedAt_ = now_;
+  caller.triesLeft_ = config_.retries_;
+  caller.measured_ = measuring_;
+  caller.writes_ = draw(random_) < kind.writeShare_;
+  caller.transaction_ =
+    kind.transactionShare_ > 0 && draw(random_) < kind.transactionShare_;
   Try(id);
 }
 
 void
 LoadWorld::Try(std::uint64_t aCaller)
 {
-  const std::size_t gateway = random_() % gateways_.size();
-  const std::string& database =
-    config_.classes_[callers_.at(aCaller).class_].name_;
-  StepGateway(gateway, SessionOpenRequested{ aCaller, database });
+  Caller& caller = callers_.at(aCaller);
+  caller.gateway_ = random_() % gateways_.size();
+  caller.ran_ = false;
+  caller.committing_ = false;
+  caller.statementsLeft_ = caller.transaction_ ? config_.transactionLength_ : 0;
+  if (!gateways_[caller.gateway_]) {
+    SessionReply refused;
+    refused.error_ = SessionError::Overloaded;
+    FinishTry(aCaller, refused);
+    return;
+  }
+  StepGateway(
+    caller.gateway_,
+    SessionOpenRequested{ aCaller, config_.classes_[caller.class_].name_ });
+}
+
+void
+LoadWorld::SendNext(std::uint64_t aCaller, StatementKind aKind)
+{
+  SessionStatement statement;
+  statement.kind_ = aKind;
+  statement.id_ = fmt::format("{}", aCaller);
+  statement.text_ = aKind == StatementKind::Write    ? "write"
+                    : aKind == StatementKind::Commit ? "commit"
+                                                     : "read";
+  ScheduleAfter(1us, [this, aCaller, statement] {
+    if (const auto found = callers_.find(aCaller); found != callers_.end()) {
+      StepGateway(found->second.gateway_,
+                  SessionStatementReceived{ aCaller, statement });
+    }
+  });
 }
 
+// Sends the transaction's next statement, or ends the try.
 void
 LoadWorld::HandleReply(std::uint64_t aCaller, const SessionReply& aReply)
+{
+  const auto found = callers_.find(aCaller);
+  if (found == callers_.end()) {
+    return; // its gateway was restarted
+  }
+  Caller& caller = found->second;
+  if (aReply.error_ || !caller.transaction_ || caller.committing_) {
+    FinishTry(aCaller, aReply);
+    return;
+  }
+  StatementKind next = StatementKind::Commit;
+  if (caller.statementsLeft_ > 0) {
+    next = caller.writes_ && caller.statementsLeft_ == 1 ? StatementKind::Write
+                                                         : StatementKind::Read;
+    caller.statementsLeft_--;
+  } else {
+    caller.committing_ = true;
+  }
+  const bool isFirst = caller.statementsLeft_ + 1 == config_.transactionLength_;
+  const Duration pause =
+    isFirst ? 1us : DrawExponential(config_.transactionPause_);
+  caller.paused_ += pause;
+  ScheduleAfter(pause, [this, aCaller, next] {
+    if (callers_.contains(aCaller)) {
+      SendNext(aCaller, next);
+    }
+  });
+}
+
+// Ends a try of the caller: it is served, tries again, or gives up.
+void
+LoadWorld::FinishTry(std::uint64_t aCaller, const SessionReply& aReply)
 {
   Caller caller = callers_.at(aCaller);
   callers_.erase(aCaller);
+  StepGateway(caller.gateway_, SessionEnded{ aCaller });
   const LoadClass& kind = config_.classes_[caller.class_];
-  const Duration taken = now_ - caller.arrivedAt_;
-  const bool refused = aReply.error_ == SessionError::Overloaded;
-  falseRefusals_ += refused && caller.ran_ ? 1U : 0U;
+  const Duration taken = now_ - caller.arrivedAt_ - caller.paused_;
+  const bool refused = aReply.error_ == SessionError::Overloaded ||
+                       aReply.error_ == SessionError::Aborted;
+  falseRefusals_ +=
+    aReply.error_ == SessionError::Overloaded && caller.ran_ ? 1U : 0U;
   if (refused && caller.triesLeft_ > 0 &&
       taken + config_.retryDelay_ < kind.deadline_) {
     caller.triesLeft_--;
     const std::uint64_t id = nextCaller_++;
     callers_[id] = caller;
-    ScheduleAfter(config_.retryDelay_, [this, id] { Try(id); });
+    ScheduleAfter(config_.retryDelay_, [this, id] {
+      if (callers_.contains(id)) {
+        Try(id);
+      }
+    });
     return;
   }
   if (!caller.measured_) {
--- a/tests/LoadWorld.h
+++ b/tests/LoadWorld.h
@@ -8,9 +8,12 @@
 //   world.Results()[0].InTargetShare();
 //
 // A server runs as many statements at once as it has slots, queues some more in
-// the order of their arrival and refuses the rest. A caller sends one
-// statement; if it is refused, it tries again through another gateway.
+// the order of their arrival and refuses the rest. It also refuses connections
+// over its limit, and opening one takes time in a slot. A caller sends one
+// statement or a transaction; if it is refused, it tries again through another
+// gateway.
 
+#include "control/PrimaryPoints.h"
 #include "gateway/Gateway.h"
 #include "tests/Timeline.h"
 
@@ -34,6 +37,7 @@
   Duration deadline_{};
   double worth_ = 1;
   double lateWorth_ = 0;
+  double transactionShare_ = 0;
 };
 
 struct LoadConfig
@@ -44,7 +48,14 @@
   std::size_t queue_ = 32; // of each server
   std::vector<LoadClass> classes_;
   int retries_ = 2;
-  Duration retryDelay_ = 20ms; // from a refusal to the next try
+  Duration retryDelay_ = 20ms;        // from a refusal to the next try
+  std::size_t connectionLimit_ = 140; // of each server
+  // A server counts a connection of a gateway that was killed for this long.
+  Duration lingerTime_ = 3s;
+  // Of a transaction: statements before the commit, and the mean pause after
+  // each of them.
+  std::size_t transactionLength_ = 4;
+  Duration transactionPause_ = 60ms;
 };
 
 struct LoadResult
@@ -72,6 +83,9 @@
   void SetReplicasBehind(bool aBehind) { replicasBehind_ = aBehind; }
   // Multiplies the rates of all classes from now on.
   void SetRateFactor(double aFactor) { rateFactor_ = aFactor; }
+  // Ends all gateways at once, and starts them again after `aPause`. Their
+  // connections linger at the servers.
+  void RestartGateways(Duration aPause);
   // Forgets all results so far.
   void StartMeasuring();
   // By class, of the callers that arrived since StartMeasuring().
@@ -80,9 +94,16 @@
   double WorthShare() const;
   // Refusals of statements that a server had run.
   std::size_t FalseRefusals() const { return falseRefusals_; }
+  // Connections to servers that were opened since StartMeasuring(), and those
+  // that a server refused.
+  std::size_t ConnectionsOpened() const { return connectionsOpened_; }
+  std::size_t ConnectionsRefused() const { return connectionsRefused_; }
+  // Callers that were answered since StartMeasuring().
+  std::size_t Asked() const;
 
 private:
-  using LinkKey = std::pair<std::size_t, ServerLinkId>; // gateway, link
+  // The run of a gateway, and the link.
+  using LinkKey = std::pair<std::uint64_t, ServerLinkId>;
 
   struct Caller
   {
@@ -91,6 +112,19 @@
     int triesLeft_ = 0;
     bool ran_ = false; // a server has run its present statement
     bool measured_ = false;
+    bool writes_ = false;
+    bool transaction_ = false;
+    std::size_t statementsLeft_ = 0; // of the transaction, before the commit
+    bool committing_ = false;
+    Duration paused_{}; // in the transaction; does not count as waiting
+    std::size_t gateway_ = 0;
+  };
+
+  // A connection to a server.
+  struct Connection
+  {
+    std::size_t server_ = 0;
+    bool inTransaction_ = false;
   };
 
   struct Job
@@ -104,27 +138,40 @@
   {
     unsigned running_ = 0;
     std::deque<Job> queue_;
-    std::uint64_t position_ = 1; // of the last commit
+    std::uint64_t position_ = 1;  // of the last commit
+    std::size_t connections_ = 0; // open, or lingering
   };
 
   void StepGateway(std::size_t aGateway, GatewayEvent aEvent);
+  void StepRun(std::uint64_t aRun, GatewayEvent aEvent);
   void Perform(std::size_t aGateway, GatewayAction& aAction);
   void TickGateway(std::size_t aGateway);
+  void StartGateway(std::size_t aGateway);
   void Arrive(std::size_t aClass);
   void Try(std::uint64_t aCaller);
+  void SendNext(std::uint64_t aCaller, StatementKind aKind);
   void HandleReply(std::uint64_t aCaller, const SessionReply& aReply);
+  void FinishTry(std::uint64_t aCaller, const SessionReply& aReply);
+  void Connect(const LinkKey& aLink, std::size_t aServer);
+  void Disconnect(const LinkKey& aLink);
   void Submit(std::size_t aServer, Job aJob);
   void RunNext(std::size_t aServer);
   void FinishJob(std::size_t aServer, const Job& aJob);
   void Answer(const LinkKey& aLink, ServerAnswer aAnswer);
-  wire::LeaseGrant MakeGrant(const wire::LeaseRequest& aRequest) const;
+  wire::LeaseGrant MakeGrant(std::size_t aGateway,
+                             const wire::LeaseRequest& aRequest);
   Duration DrawExponential(Duration aMean);
 
   LoadConfig config_;
   std::mt19937_64 random_;
-  std::vector<std::unique_ptr<Gateway>> gateways_;
+  FleetViewPtr view_;
+  CatalogPtr catalog_;
+  std::vector<std::unique_ptr<Gateway>> gateways_; // null: not running
+  std::vector<std::uint64_t> runs_;                // differ at each start
+  std::uint64_t nextRun_ = 0;
+  PrimaryPoints primaryPoints_;
   std::vector<Server> servers_;
-  std::map<LinkKey, std::size_t> serverByLink_;
+  std::map<LinkKey, Connection> connections_;
   std::map<std::uint64_t, Caller> callers_; // by session
   std::uint64_t nextCaller_ = 1;
   std::vector<LoadResult> results_;
@@ -132,6 +179,8 @@
   double rateFactor_ = 1;
   bool measuring_ = false;
   std::size_t falseRefusals_ = 0;
+  std::size_t connectionsOpened_ = 0;
+  std::size_t connectionsRefused_ = 0;
 };
 
 } // namespace jaydoor::tests
--- a/tests/SessionWorld.cpp
+++ b/tests/SessionWorld.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr char kGroup[] = "db";
+// Difference of the leader's clock to that of the gateways.
+constexpr Duration kLeaderClockOffset = 777s;
 constexpr Duration kNetDelay = 1ms;
 constexpr Duration kConnectDelay = 12ms;
 constexpr Duration kPromoteDelay = 100ms;
@@ -77,6 +79,7 @@
     Apply(std::move(holder));
   }
   leases_.Reset(state_, 1, now_ - 10s);
+  primaryPoints_.Reset(1);
   frozenUntil_.resize(config_.gateways_);
   for (std::size_t i = 0; i < config_.gateways_; i++) {
     GatewayConfig config;
@@ -162,11 +165,13 @@
 void
 SessionWorld::Grant(std::size_t aGateway, const wire::LeaseRequest& aRequest)
 {
-  const auto grant =
-    leases_.Grant(fmt::format("vm-{}", aGateway), aRequest, state_, now_);
+  const std::string vm = fmt::format("vm-{}", aGateway);
+  auto grant = leases_.Grant(vm, aRequest, state_, now_);
   if (!grant) {
     return;
   }
+  primaryPoints_.Record(aRequest, now_ + kLeaderClockOffset);
+  primaryPoints_.AddTo(vm, *grant, now_ + kLeaderClockOffset);
   ScheduleAfter(kNetDelay * (1 + random_() % 30), [this, aGateway, grant] {
     StepGateway(aGateway, LeaseGrantReceived{ *grant });
   });
--- a/tests/SessionWorld.h
+++ b/tests/SessionWorld.h
@@ -12,6 +12,7 @@
 // wait for the leases.
 
 #include "control/LeaseTable.h"
+#include "control/PrimaryPoints.h"
 #include "gateway/Gateway.h"
 #include "tests/Timeline.h"
 
@@ -165,6 +166,7 @@
   ControlState state_;
   std::uint64_t index_ = 0;
   LeaseTable leases_{ LeaseTiming{} };
+  PrimaryPoints primaryPoints_;
   bool changing_ = false;
   std::size_t successor_ = 0;
   std::uint64_t nextValue_ = 1;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -32,12 +32,14 @@
 {
   static constexpr std::uint64_t kListId = 7;
 
-  Gateway gateway_{ GatewayConfig{ .zone_ = "zone-1" } };
+  Gateway gateway_;
   Time now_{ 1000s };
   GatewayActions actions_;
   std::map<std::string, ServerLinkId> opened_; // newest link to each server
 
-  explicit GatewayFixture(Duration aLeaseDuration = 60s)
+  explicit GatewayFixture(Duration aLeaseDuration = 60s,
+                          const ZoneId& aZone = "zone-1")
+    : gateway_(GatewayConfig{ .zone_ = aZone })
   {
     ControlLog log;
     for (int i = 1; i <= 3; i++) {
@@ -93,9 +95,8 @@
     }
   };
 
-  void Grant(Duration aLeaseDuration)
+  void Grant(Duration aLeaseDuration, wire::LeaseGrant grant = {})
   {
-    wire::LeaseGrant grant;
     grant.set_sent_us(now_.time_since_epoch().count());
     grant.set_incarnation(1);
     grant.set_holders(1);
@@ -247,6 +248,7 @@
     // because it did not answer.
     for (Duration pause = 1200ms; pause < 1800ms; pause += 10ms) {
       GatewayFixture fixture;
+      fixture.Wait(3s); // connections may be scarce after the start
       fixture.Step(SessionOpenRequested{ 1, "all" });
       fixture.Step(SessionOpenRequested{ 2, "all" });
       fixture.Send(1, StatementKind::Read, "q1");
@@ -306,6 +308,59 @@
     CHECK(fixture.Count<OpenServerLink>() <= before + 10);
   }
 
+  SECTION("the last idle link to a server is kept")
+  {
+    GatewayFixture fixture;
+    fixture.Wait(3s);
+    fixture.Step(SessionOpenRequested{ 1, "all" });
+    fixture.Send(1, StatementKind::Read, "q1");
+    fixture.Open("server-1");
+    fixture.Answer("server-1");
+    fixture.Wait(10s);
+    CHECK(fixture.Count<CloseServerLink>() == 0);
+
+    SECTION("but not while connections are scarce")
+    {
+      fixture.Step(SessionOpenRequested{ 2, "all" });
+      fixture.Send(1, StatementKind::Write, "q2");
+      fixture.Send(2, StatementKind::Write, "q3");
+      const ServerLinkId first = 1;
+      fixture.Step(ServerLinkLost{ fixture.opened_["server-1"],
+                                   SessionError::ConnectionLimit });
+      fixture.Step(ServerLinkAnswered{ first, ServerAnswer{} });
+      fixture.Step(ServerLinkAnswered{ first, ServerAnswer{} });
+      fixture.Wait(100ms);
+      CHECK(fixture.Count<CloseServerLink>() == 1);
+    }
+  }
+
+  SECTION("a log position from the leader proves that a replica is fresh")
+  {
+    const auto grantPoint = [](GatewayFixture& aFixture, Duration aAge) {
+      wire::LeaseGrant grant;
+      wire::SharedPoint& point = *grant.add_points();
+      point.set_database("db");
+      point.set_term(1);
+      point.set_position(9);
+      point.set_age_us(aAge.count());
+      aFixture.Grant(60s, grant);
+      aFixture.Step(SessionOpenRequested{ 1, "aged" });
+      aFixture.Send(1, StatementKind::Read, "q1");
+    };
+    GatewayFixture fixture(60s, "zone-2");
+    grantPoint(fixture, 300ms);
+    CHECK(fixture.opened_.contains("server-2"));
+    CHECK_FALSE(fixture.opened_.contains("server-1"));
+
+    SECTION("but not if it is older than the staleness allowed")
+    {
+      GatewayFixture other(60s, "zone-2");
+      grantPoint(other, 1500ms);
+      CHECK(other.opened_.contains("server-1"));
+      CHECK_FALSE(other.opened_.contains("server-2"));
+    }
+  }
+
   SECTION("a session waits for the databases to be known, then is refused")
   {
     Gateway gateway(GatewayConfig{});
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -42,6 +42,18 @@
   return config;
 }
 
+// The same with transactions: a connection belongs to one while its caller
+// pauses.
+LoadConfig
+MakeLargeFleetWithTransactions(std::uint64_t aSeed)
+{
+  LoadConfig config = MakeLargeFleet(aSeed);
+  config.classes_[0].transactionShare_ = 0.25;
+  config.classes_[1].transactionShare_ = 0.12;
+  config.classes_[2].transactionShare_ = 0.1;
+  return config;
+}
+
 // Share of the owed worth that the primary's slots can earn at most, if it has
 // to run all statements: those that are worth most for their time come first.
 double
@@ -189,4 +201,32 @@
   }
 }
 
+TEST_CASE("A server has about as many connections as the fleet has VMs",
+          "[load]")
+{
+  LoadWorld world(MakeLargeFleetWithTransactions(GENERATE(1U, 2U, 3U)));
+
+  SECTION("connections are used again, and transactions hold up nobody")
+  {
+    world.Run(15s);
+    world.StartMeasuring();
+    world.Run(12s);
+    for (const auto& result : world.Results()) {
+      CHECK(result.InTargetShare() >= 0.99);
+    }
+    CHECK(world.ConnectionsOpened() * 20 <= world.Asked());
+  }
+
+  SECTION("all VMs lose their power, and servers still count the connections")
+  {
+    world.Run(15s);
+    world.RestartGateways(1s);
+    world.Run(1500ms);
+    world.StartMeasuring();
+    world.Run(2s);
+    CHECK(world.WorthShare() >= 0.9);
+    CHECK(world.FalseRefusals() == 0);
+  }
+}
+
 } // namespace jaydoor::tests
