--- a/control/OverloadMonitor.cpp
+++ b/control/OverloadMonitor.cpp
@@ -5,11 +5,12 @@
 namespace jaydoor {
 namespace {
 
-constexpr Duration kWindow = 200ms;
-// The pressure changes by this part of the difference between the mean delay
-// and the target, in each window.
-constexpr double kGain = 0.07;
-constexpr double kTargetDelay = 0.6;
+constexpr Duration kWindow = 150ms;
+// In each window the pressure changes by one of these parts of the difference
+// between the mean delay and the target.
+constexpr double kRiseGain = 0.07;
+constexpr double kFallGain = 0.14;
+constexpr double kTargetDelay = 0.5;
 // VMs without slow answers do not report a server that is not overloaded, so a
 // window with few answers is filled up with fast ones.
 constexpr unsigned kMinAnswers = 8;
@@ -30,8 +31,9 @@
     const unsigned answers = std::max(aServer.answers_, kMinAnswers);
     const double delay =
       (aServer.delay_ + kFastDelay * (answers - aServer.answers_)) / answers;
+    const double gain = delay > kTargetDelay ? kRiseGain : kFallGain;
     aServer.pressure_ =
-      std::clamp(aServer.pressure_ + kGain * (delay - kTargetDelay), 0.0, 1.0);
+      std::clamp(aServer.pressure_ + gain * (delay - kTargetDelay), 0.0, 1.0);
     aServer.answers_ = 0;
     aServer.delay_ = 0;
     aServer.windowAt_ =
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -66,6 +66,13 @@
     Grant(aLeaseDuration);
   }
 
+  static wire::LeaseGrant OneHolder()
+  {
+    wire::LeaseGrant grant;
+    grant.set_holders(1);
+    return grant;
+  }
+
   // A control state, and the index of the last change applied to it.
   struct ControlLog
   {
@@ -95,11 +102,10 @@
     }
   };
 
-  void Grant(Duration aLeaseDuration, wire::LeaseGrant grant = {})
+  void Grant(Duration aLeaseDuration, wire::LeaseGrant grant = OneHolder())
   {
     grant.set_sent_us(now_.time_since_epoch().count());
     grant.set_incarnation(1);
-    grant.set_holders(1);
     auto& lease = *grant.add_leases();
     lease.set_database("db");
     lease.set_server("server-1");
@@ -376,6 +382,56 @@
     CHECK(std::get<RefuseSession>(*refused).error_ == SessionError::Overloaded);
   }
 
+  SECTION("a VM is not ready before the leader has answered it")
+  {
+    // It knows the databases from a VM of its zone, which may be cut off.
+    GatewayFixture::ControlLog log;
+    log.Announce("server-1", "zone-1");
+    log.SetPrimary("server-1", 1);
+    auto catalog = std::make_shared<Catalog>();
+    catalog->version_ = 1;
+    Gateway gateway(GatewayConfig{});
+    GatewayActions actions;
+    gateway.Step(
+      FleetOrCatalogChanged{ BuildFleetView(log.state_, {}, true), catalog },
+      Time(1000s),
+      actions);
+    CHECK_FALSE(gateway.IsReady());
+    wire::LeaseGrant grant;
+    grant.set_incarnation(1);
+    gateway.Step(LeaseGrantReceived{ grant }, Time(1001s), actions);
+    CHECK(gateway.IsReady());
+  }
+
+  SECTION("a caller that rests in a transaction holds up nobody")
+  {
+    GatewayFixture fixture;
+    wire::LeaseGrant grant;
+    constexpr std::uint32_t kManyVms = 17; // one link to a server for each
+    grant.set_holders(kManyVms);
+    fixture.Grant(60s, grant);
+    for (const SessionId id : { 1, 2, 3, 4 }) {
+      fixture.Step(SessionOpenRequested{ id, "all" });
+    }
+    for (const SessionId id : { 1, 2, 3 }) {
+      fixture.Send(id, StatementKind::Begin, "b");
+      fixture.Send(id, StatementKind::Write, "w");
+      fixture.Open("server-1");
+      const std::size_t replies = fixture.Count<SendSessionReply>();
+      ServerAnswer answer;
+      answer.state_ = TransactionState::Open;
+      fixture.Step(ServerLinkAnswered{ fixture.opened_["server-1"], answer });
+      fixture.Step(ServerLinkAnswered{ fixture.opened_["server-1"], answer });
+      CHECK(fixture.Count<SendSessionReply>() == replies + 1);
+    }
+    // No more than two links beyond the share.
+    const std::size_t opened = fixture.Count<OpenServerLink>();
+    CHECK(opened == 3);
+    fixture.Send(4, StatementKind::Write, "q4");
+    fixture.Wait(50ms);
+    CHECK(fixture.Count<OpenServerLink>() == opened);
+  }
+
   SECTION("an isolated VM is not ready and closes idle sessions")
   {
     GatewayFixture fixture;
