A VM that hears nothing from other zones tests servers there

Without an answer from the leader and from servers of other zones for 450 ms, a VM opens links to three of these servers. If they can't be reached either, it is cut off. Ruled out: refusals of leases by voters as a sign of life (one more answer of each voter to each VM; the tested servers tell as much).

J424 server_overloaded says what the leader makes of the answers.

--- a/base/Log.h
+++ b/base/Log.h
@@ -83,6 +83,7 @@
   ServerUnreachable = 421,
   ServerMoved = 422,
   ServerFull = 423,
+  ServerOverloaded = 424,
   AnnounceRefused = 430,
   LinesDropped = 440,
 };
--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -75,6 +75,16 @@
   primaryPoints_.AddTo(aHolder, *grant, aNow);
   overloadMonitor_.Record(aRequest, aNow);
   overloadMonitor_.AddTo(*grant, aNow);
+  for (const auto& change : overloadMonitor_.TakeChanges()) {
+    const wire::Upstream* server = state_.FindServer(change.server_);
+    aOut.push_back(LogControlEvent{
+      Event::ServerOverloaded,
+      fmt::format("server={} database={} overloaded={} connections_scarce={}",
+                  change.server_,
+                  server == nullptr ? "-" : server->database(),
+                  change.isOverloaded_,
+                  change.areConnectionsScarce_) });
+  }
   if (aHolder == config_.self_.id()) {
     aOut.push_back(DeliverLeaseGrant{ std::move(*grant) });
     return;
--- a/control/OverloadMonitor.cpp
+++ b/control/OverloadMonitor.cpp
@@ -69,6 +69,12 @@
       std::max(0.0, server.pressure_ - kToleratedPressure);
     const bool areConnectionsScarce =
       aNow - server.connectionLimitAt_ < kScarceConnectionsWindow;
+    const Change change{ id, withheld > 0, areConnectionsScarce };
+    if (change.isOverloaded_ != server.last_.isOverloaded_ ||
+        areConnectionsScarce != server.last_.areConnectionsScarce_) {
+      server.last_ = change;
+      changes_.push_back(change);
+    }
     if (withheld > 0 || areConnectionsScarce) {
       wire::ServerOverload& overload = *aGrant.add_overloaded();
       overload.set_server(id);
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -606,6 +606,10 @@
 
   bool IsCatalogProven() const;
   bool IsCutOff(Time aNow) const;
+  bool DependsOnOtherZones() const;
+  bool AreOtherZonesSilent(Time aNow) const;
+  bool IsAloneInZone(Time aNow) const;
+  void TestOtherZones(Time aNow, GatewayActions& aOut);
   bool IsOutOfRotation(Time aSince, Time aNow) const;
   void TickIsolation(Time aNow, GatewayActions& aOut);
   void CloseIdleSessions(Time aNow, GatewayActions& aOut);
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -25,6 +25,11 @@
 // The same while the leader answers: it replaces primaries that can't be
 // reached, and this is longer than such a change takes.
 constexpr Duration kIsolationDelayWithLeader = 3s;
+// Other zones are silent after this time without an answer from them. Then
+// servers there are tested by new links.
+constexpr Duration kOtherZonesSilence = 450ms;
+constexpr int kMaxTestedServers = 3;
+constexpr int kMinFailedTests = 2;
 // The leader counts as answering for this long after an answer.
 constexpr Duration kLeaderContactWindow = 600ms;
 
@@ -112,6 +117,70 @@
   return wasProbed || aNow - aSince >= config_.outOfRotationDelay_;
 }
 
+// Returns true if at least half of the primaries are in other zones.
+bool
+Gateway::DependsOnOtherZones() const
+{
+  std::size_t primaries = 0;
+  std::size_t elsewhere = 0;
+  for (const auto& [name, group] : groups_) {
+    if (const Server* primary = FindServer(group.primary_)) {
+      primaries++;
+      elsewhere += primary->info_.zone() != config_.zone_ ? 1U : 0U;
+    }
+  }
+  return elsewhere > 0 && elsewhere * 2 >= primaries;
+}
+
+// Returns true if this VM depends on other zones, and neither the leader nor
+// a server there has been heard from lately.
+bool
+Gateway::AreOtherZonesSilent(Time aNow) const
+{
+  return wasGranted_ && aNow - grantedAt_ >= kOtherZonesSilence &&
+         DependsOnOtherZones() &&
+         std::none_of(
+           servers_.begin(), servers_.end(), [&](const auto& aEntry) {
+             const Server& server = aEntry.second;
+             return server.info_.zone() != config_.zone_ &&
+                    aNow - server.heardAt_ < kOtherZonesSilence;
+           });
+}
+
+// Returns true if other zones are silent, and servers there that were tested
+// can't be reached. In a large fleet a VM sends too few statements to find this
+// out soon by those that fail.
+bool
+Gateway::IsAloneInZone(Time aNow) const
+{
+  const auto failed =
+    std::count_if(servers_.begin(), servers_.end(), [&](const auto& aEntry) {
+      return aEntry.second.info_.zone() != config_.zone_ &&
+             aEntry.second.failures_ > 0;
+    });
+  return failed >= kMinFailedTests && AreOtherZonesSilent(aNow);
+}
+
+// Opens links to some servers of other zones while these are silent.
+void
+Gateway::TestOtherZones(Time aNow, GatewayActions& aOut)
+{
+  if (!AreOtherZonesSilent(aNow)) {
+    return;
+  }
+  int tested = 0;
+  for (auto& [id, server] : servers_) {
+    const bool isElsewhere =
+      server.info_.zone() != config_.zone_ && !server.info_.leaving();
+    if (isElsewhere && tested < kMaxTestedServers) {
+      tested++;
+      if (server.openingCount_ == 0 && aNow >= server.blockedUntil_) {
+        OpenLink(server, aNow, aOut);
+      }
+    }
+  }
+}
+
 // Returns true if no primary can be used, and at least half of the primaries or
 // half of all servers can't be reached: then other VMs can probably serve
 // callers better. A VM that has lost only the leader still reaches its servers
@@ -153,7 +222,8 @@
 void
 Gateway::TickIsolation(Time aNow, GatewayActions& aOut)
 {
-  if (!IsCutOff(aNow)) {
+  TestOtherZones(aNow, aOut);
+  if (!IsCutOff(aNow) && !IsAloneInZone(aNow)) {
     lastNotCutOffAt_ = aNow;
     isolatedSince_.reset();
     return;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -458,6 +458,24 @@
     CHECK(fixture.gateway_.IsReady());
   }
 
+  SECTION("a VM that hears nothing from other zones tests servers there")
+  {
+    // It has no callers whose statements could fail.
+    GatewayFixture fixture(60s, "zone-2");
+    fixture.Wait(400ms);
+    CHECK(fixture.Count<OpenServerLink>() == 0);
+    fixture.Wait(100ms);
+    CHECK(fixture.opened_.contains("server-1"));
+    CHECK(fixture.opened_.contains("server-3"));
+    CHECK_FALSE(fixture.opened_.contains("server-2"));
+
+    SECTION("and is isolated if these can't be reached")
+    {
+      fixture.Wait(700ms);
+      CHECK_FALSE(fixture.gateway_.IsReady());
+    }
+  }
+
   SECTION("a VM that can't reach the leader and most servers is isolated")
   {
     // The VM's lease expires in the first case and not in the second.
