--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -102,6 +102,42 @@
     }
   };
 
+  static wire::LeaseGrant OneHolder()
+  {
+    wire::LeaseGrant grant;
+    grant.set_holders(1);
+    return grant;
+  }
+
+  // A control state, and the index of the last change applied to it.
+  struct ControlLog
+  {
+    ControlState state_;
+    std::uint64_t index_ = 0;
+
+    void Announce(const ServerId& aServer, const ZoneId& aZone)
+    {
+      wire::Change change;
+      auto& info = *change.mutable_upstream()->mutable_upstream();
+      info.set_server(aServer);
+      info.set_database("db");
+      info.set_zone(aZone);
+      info.set_slots(1);
+      change.set_index(++index_);
+      state_.Apply(change);
+    }
+
+    void SetPrimary(const ServerId& aServer, std::uint64_t aTerm)
+    {
+      wire::Change change;
+      change.mutable_primary()->set_database("db");
+      change.mutable_primary()->set_server(aServer);
+      change.mutable_primary()->set_term(aTerm);
+      change.set_index(++index_);
+      state_.Apply(change);
+    }
+  };
+
   void Grant(Duration aLeaseDuration, wire::LeaseGrant grant = OneHolder())
   {
     grant.set_sent_us(now_.time_since_epoch().count());
