--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -102,53 +102,17 @@
     }
   };
 
-  static wire::LeaseGrant OneHolder()
-  {
-    wire::LeaseGrant grant;
-    grant.set_holders(1);
-    return grant;
-  }
-
-  // A control state, and the index of the last change applied to it.
-  struct ControlLog
+  void Grant(Duration aLeaseDuration, wire::LeaseGrant aGrant = OneHolder())
   {
-    ControlState state_;
-    std::uint64_t index_ = 0;
-
-    void Announce(const ServerId& aServer, const ZoneId& aZone)
-    {
-      wire::Change change;
-      auto& info = *change.mutable_upstream()->mutable_upstream();
-      info.set_server(aServer);
-      info.set_database("db");
-      info.set_zone(aZone);
-      info.set_slots(1);
-      change.set_index(++index_);
-      state_.Apply(change);
-    }
-
-    void SetPrimary(const ServerId& aServer, std::uint64_t aTerm)
-    {
-      wire::Change change;
-      change.mutable_primary()->set_database("db");
-      change.mutable_primary()->set_server(aServer);
-      change.mutable_primary()->set_term(aTerm);
-      change.set_index(++index_);
-      state_.Apply(change);
-    }
-  };
-
-  void Grant(Duration aLeaseDuration, wire::LeaseGrant grant = OneHolder())
-  {
-    grant.set_sent_us(now_.time_since_epoch().count());
-    grant.set_incarnation(1);
-    auto& lease = *grant.add_leases();
+    aGrant.set_sent_us(now_.time_since_epoch().count());
+    aGrant.set_incarnation(1);
+    auto& lease = *aGrant.add_leases();
     lease.set_database("db");
     lease.set_server("server-1");
     lease.set_term(1);
     lease.set_duration_us(aLeaseDuration.count());
-    grant.set_list_id(kListId);
-    Step(LeaseGrantReceived{ grant });
+    aGrant.set_list_id(kListId);
+    Step(LeaseGrantReceived{ aGrant });
   }
 
   void Step(GatewayEvent aEvent)
