--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -30,6 +30,9 @@
 // connection limit.
 constexpr Duration kConnectionLimitDelay = 60ms;
 constexpr int kMaxAttempts = 6; // of one statement
+// A response time counts for no more in reports to the leader, and a refusal
+// for lack of capacity for as much; 1000: too slow.
+constexpr double kMaxDelayPermille = 2000;
 // A new response time has a weight of 1/8 in the smoothed one.
 constexpr int kServiceTimeSmoothing = 8;
 
@@ -303,7 +306,8 @@
 }
 
 // Records the time that the server took for the link's statement. It is slow if
-// it used up half of the latency target of the most urgent database.
+// it used up half of the latency target of the most urgent database; no answer
+// is slow once the configuration names no database of the group.
 void
 Gateway::RecordResponse(Server& aServer,
                         const Link& aLink,
@@ -323,11 +327,13 @@
   const bool isSlow = aRefused || responseTime > limit;
   aServer.shedder_.RecordResponse(isSlow, group.ranks_.size(), aNow);
   aServer.answers_.set_count(aServer.answers_.count() + 1);
-  const Duration delay =
-    aRefused ? 2 * limit : std::min(responseTime, 2 * limit);
+  const double delay = static_cast<double>(responseTime.count()) /
+                       static_cast<double>(limit.count() + 1);
   aServer.answers_.set_delay_permille(
     aServer.answers_.delay_permille() +
-    static_cast<std::uint32_t>(1000 * delay / std::max(limit, Duration(1))));
+    static_cast<std::uint32_t>(aRefused
+                                 ? kMaxDelayPermille
+                                 : std::min(1000 * delay, kMaxDelayPermille)));
   aServer.hasSlowAnswers_ |= isSlow;
 }
 
