Gateway: derived state instead of a flag, the preferred replica once for a view

No change of behaviour. Whether the leader has answered follows from the time of its answer. The preferred replica was hashed at each choice of a server and is now found when the fleet view changes. The overload monitor copied the server's id at each grant to notice a change.

--- a/control/OverloadMonitor.cpp
+++ b/control/OverloadMonitor.cpp
@@ -69,13 +69,14 @@
       std::max(0.0, server.pressure_ - kToleratedPressure);
     const bool areConnectionsScarce =
       aNow - server.connectionLimitAt_ < kScarceConnectionsWindow;
-    const Change change{ id, withheld > 0, areConnectionsScarce };
-    if (change.isOverloaded_ != server.last_.isOverloaded_ ||
-        areConnectionsScarce != server.last_.areConnectionsScarce_) {
-      server.last_ = change;
-      changes_.push_back(change);
+    const bool isOverloaded = withheld > 0;
+    if (isOverloaded != server.isOverloaded_ ||
+        areConnectionsScarce != server.areConnectionsScarce_) {
+      server.isOverloaded_ = isOverloaded;
+      server.areConnectionsScarce_ = areConnectionsScarce;
+      changes_.push_back({ id, isOverloaded, areConnectionsScarce });
     }
-    if (withheld > 0 || areConnectionsScarce) {
+    if (isOverloaded || areConnectionsScarce) {
       wire::ServerOverload& overload = *aGrant.add_overloaded();
       overload.set_server(id);
       overload.set_permille(
--- a/control/OverloadMonitor.h
+++ b/control/OverloadMonitor.h
@@ -51,7 +51,8 @@
     double delay_ = 0;     // sum over these; 1: too slow
     Time windowAt_;
     Time connectionLimitAt_; // last report that it refused a connection
-    Change last_;            // as last returned by TakeChanges
+    bool isOverloaded_ = false;
+    bool areConnectionsScarce_ = false;
   };
 
   void Advance(Server& aServer, Time aNow);
--- a/control/PrimaryPoints.cpp
+++ b/control/PrimaryPoints.cpp
@@ -1,6 +1,6 @@
 #include "control/PrimaryPoints.h"
 
-#include <algorithm>
+#include <tuple>
 
 namespace jaydoor {
 namespace {
@@ -31,9 +31,8 @@
     const Point point{ { reported.term(), reported.position() },
                        Time(Duration(reported.asked_us())) };
     Point& known = points_[reported.database()];
-    const bool isNewer = point.point_.term_ > known.point_.term_ ||
-                         (point.point_.term_ == known.point_.term_ &&
-                          point.askedAt_ > known.askedAt_);
+    const bool isNewer = std::tie(point.point_.term_, point.askedAt_) >
+                         std::tie(known.point_.term_, known.askedAt_);
     if (isNewer && point.askedAt_ <= aNow) {
       known = point;
     }
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -417,6 +417,7 @@
     std::uint64_t term_ = 0; // of the primary
     bool changing_ = false;  // another primary is being promoted
     std::vector<ServerId> servers_;
+    ServerId preferredReplica_; // of this VM; empty: there is no replica
     GroupLog log_;
     std::set<int> ranks_; // of the databases that the group serves
     Duration fastestTarget_ = Duration::max(); // least target of these
@@ -517,6 +518,7 @@
              const Work& aWork,
              Time aNow) const;
   bool IsShedByAll(const Work& aWork, const Group& aGroup, Time aNow) const;
+  bool IsInOwnZone(const Server& aServer) const;
   std::size_t SlotShare(const Server& aServer) const;
   std::size_t LinkBudget(const Server& aServer) const;
   std::size_t LinkShare(const Server& aServer) const;
@@ -631,9 +633,9 @@
   std::set<DatabaseId> groupsToDispatch_;
   WorkId nextWork_ = 1;
   ServerLinkId nextLink_ = 1;
-  Time leaseRequestedAt_;   // last lease request
-  Time grantedAt_;          // last answer of the leader to a lease request
-  bool wasGranted_ = false; // the leader has answered since the start
+  Time leaseRequestedAt_; // last lease request
+  // Last answer of the leader to a lease request; Time{}: none since the start.
+  Time grantedAt_;
   // The last complete list of leases that the leader sent, and its id.
   google::protobuf::RepeatedPtrField<wire::PrimaryLease> grantedLeases_;
   std::uint64_t grantedListId_ = kNoLeaseList;
--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -207,6 +207,12 @@
   return required;
 }
 
+bool
+Gateway::IsInOwnZone(const Server& aServer) const
+{
+  return aServer.info_.zone() == config_.zone_;
+}
+
 // Returns how many statements this VM may run on the server at once: its part
 // of kStatementsPerSlot statements per slot, rounded up.
 std::size_t
@@ -305,7 +311,7 @@
                   : std::min(aServer.serviceTime_, kUsualServiceTime);
   const auto slots = std::max(1U, aServer.info_.slots());
   Duration cost = responseTime + responseTime * aServer.runningCount_ / slots;
-  cost += aServer.info_.zone() == config_.zone_ ? 0us : kOtherZoneCost;
+  cost += IsInOwnZone(aServer) ? 0us : kOtherZoneCost;
   cost += aPrimary ? kPrimaryCost : aPreferred ? 0us : kUnpreferredCost;
   cost += aServer.idleLinks_.empty() ? kOpenLinkCost : 0us;
   return cost;
@@ -370,7 +376,6 @@
     return fits ? std::optional(ServerChoice{ aGroup.primary_, {}, aNow, true })
                 : std::nullopt;
   }
-  const ServerId preferred = FindPreferredReplica(aGroup);
   std::optional<ServerChoice> best;
   Duration bestCost{};
   for (const auto& id : aGroup.servers_) {
@@ -385,7 +390,7 @@
       continue;
     }
     const bool isPreferred =
-      id == preferred || server.info_.zone() == config_.zone_;
+      id == aGroup.preferredReplica_ || IsInOwnZone(server);
     const Duration cost = EstimateCost(server, isPrimary, isPreferred);
     if (!best || cost < bestCost) {
       best = ServerChoice{
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -89,7 +89,8 @@
 bool
 Gateway::IsReady() const
 {
-  return !drainingSince_ && !isolatedSince_ && IsCatalogProven() && wasGranted_;
+  return !drainingSince_ && !isolatedSince_ && IsCatalogProven() &&
+         grantedAt_ != Time{};
 }
 
 bool
@@ -126,7 +127,7 @@
   for (const auto& [name, group] : groups_) {
     if (const Server* primary = FindServer(group.primary_)) {
       primaries++;
-      elsewhere += primary->info_.zone() != config_.zone_ ? 1U : 0U;
+      elsewhere += IsInOwnZone(*primary) ? 0U : 1U;
     }
   }
   return elsewhere > 0 && elsewhere * 2 >= primaries;
@@ -137,12 +138,12 @@
 bool
 Gateway::AreOtherZonesSilent(Time aNow) const
 {
-  return wasGranted_ && aNow - grantedAt_ >= kOtherZonesSilence &&
+  return grantedAt_ != Time{} && aNow - grantedAt_ >= kOtherZonesSilence &&
          DependsOnOtherZones() &&
          std::none_of(
            servers_.begin(), servers_.end(), [&](const auto& aEntry) {
              const Server& server = aEntry.second;
-             return server.info_.zone() != config_.zone_ &&
+             return !IsInOwnZone(server) &&
                     aNow - server.heardAt_ < kOtherZonesSilence;
            });
 }
@@ -155,8 +156,7 @@
 {
   const auto failed =
     std::count_if(servers_.begin(), servers_.end(), [&](const auto& aEntry) {
-      return aEntry.second.info_.zone() != config_.zone_ &&
-             aEntry.second.failures_ > 0;
+      return !IsInOwnZone(aEntry.second) && aEntry.second.failures_ > 0;
     });
   return failed >= kMinFailedTests && AreOtherZonesSilent(aNow);
 }
@@ -170,8 +170,7 @@
   }
   int tested = 0;
   for (auto& [id, server] : servers_) {
-    const bool isElsewhere =
-      server.info_.zone() != config_.zone_ && !server.info_.leaving();
+    const bool isElsewhere = !IsInOwnZone(server) && !server.info_.leaving();
     if (isElsewhere && tested < kMaxTestedServers) {
       tested++;
       if (server.openingCount_ == 0 && aNow >= server.blockedUntil_) {
@@ -288,6 +287,7 @@
       AbortLeasedTransactions(name, aNow, aOut);
     }
     group.primary_ = database.primary_;
+    group.preferredReplica_ = FindPreferredReplica(group);
     groupsToDispatch_.insert(name);
   }
   for (const auto& [id, server] : view_->servers_) {
