--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -562,10 +562,6 @@
   bool IsWanted(const Link& aLink, ServerLinkId aId) const;
   void DropWork(WorkId aId);
   void RecordPoint(const Link& aLink, LogPoint aPoint, Time aNow);
-  void RecordResponse(Server& aServer,
-                      const Link& aLink,
-                      bool aRefused,
-                      Time aNow);
   void RecordContact(Server& aServer, Time aNow, GatewayActions& aOut);
   void RecordFailure(const ServerId& aServer,
                      Time aNow,
@@ -581,17 +577,24 @@
   // Leases: GatewayLeases.cpp
   bool HoldsLease(const Group& aGroup, std::uint64_t aTerm, Time aNow) const;
   bool IsLeaseUsed(const DatabaseId& aGroup, std::uint64_t aTerm) const;
+  void TickLeases(Time aNow, GatewayActions& aOut);
+  void FinishRelease(const DatabaseId& aGroup, Time aNow, GatewayActions& aOut);
+  void AbortLeasedTransactions(const DatabaseId& aGroup,
+                               Time aNow,
+                               GatewayActions& aOut);
+
+  // Reports to the leader and its word on them: GatewayReports.cpp
+  void RecordResponse(Server& aServer,
+                      const Link& aLink,
+                      bool aRefused,
+                      Time aNow);
   void RecordLeaderTime(const wire::LeaseGrant& aGrant, Time aNow);
   void RecordOverload(const wire::LeaseGrant& aGrant, Time aNow);
   void AddReports(wire::LeaseRequest& aRequest);
   void ReportPrimaryPoint(const DatabaseId& aGroup,
                           Time aSentAt,
                           LogPoint aPoint);
-  void TickLeases(Time aNow, GatewayActions& aOut);
-  void FinishRelease(const DatabaseId& aGroup, Time aNow, GatewayActions& aOut);
-  void AbortLeasedTransactions(const DatabaseId& aGroup,
-                               Time aNow,
-                               GatewayActions& aOut);
+  void RecordSharedPoints(const wire::LeaseGrant& aGrant);
 
   // Timeouts, suspicions, isolation, drain: GatewayTick.cpp
   void TickWork(Time aNow, GatewayActions& aOut);
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -9,8 +9,6 @@
 
 #include "gateway/Gateway.h"
 
-#include <algorithm>
-
 #include <fmt/format.h>
 
 namespace jaydoor {
@@ -22,14 +20,6 @@
 constexpr Duration kMissingLeaseRequestInterval = 50ms;
 // Time in which running statements may finish after a revocation.
 constexpr Duration kLeaseDrainTimeout = 250ms;
-// A position of a primary's log is reported to the leader if it is newer than
-// the newest known one by this time: other VMs have reported that.
-constexpr Duration kPointReportInterval = 250ms;
-// Times of the leader that are kept: an answer arrives within this many lease
-// requests.
-constexpr std::size_t kMaxLeaderTimes = 8;
-// Clocks of two VMs differ by no more than this over the age of a position.
-constexpr Duration kPointAgeMargin = 10ms;
 // A lease is not used in its last part: time passes between the check and the
 // action that it permits.
 constexpr Duration kLeaseMargin = 20ms;
@@ -111,15 +101,8 @@
   for (const auto& database : grant.doubted()) {
     groups_[database].doubtedAt_ = aNow;
   }
+  RecordSharedPoints(grant);
   const Time requestedAt{ Duration(grant.sent_us()) };
-  for (const auto& shared : grant.points()) {
-    const auto group = groups_.find(shared.database());
-    if (group != groups_.end()) {
-      group->second.log_.RecordPrimaryPoint(
-        requestedAt - Duration(shared.age_us()) - kPointAgeMargin,
-        { shared.term(), shared.position() });
-    }
-  }
   for (const auto& lease : grantedLeases_) {
     Group& group = groups_[lease.database()];
     // A grant that was requested before the release may still contain the
@@ -178,98 +161,6 @@
   }
 }
 
-// Keeps the leader's time, to which positions of primaries are reported.
-void
-Gateway::RecordLeaderTime(const wire::LeaseGrant& aGrant, Time aNow)
-{
-  if (aGrant.leader_term() < leaderTerm_) {
-    return; // delayed, from an earlier leader
-  }
-  if (aGrant.leader_term() > leaderTerm_) {
-    leaderTerm_ = aGrant.leader_term();
-    leaderTimes_.clear();
-    for (auto& [name, group] : groups_) {
-      group.pointToReport_.reset();
-    }
-  }
-  leaderTimes_.push_back({ aNow, aGrant.leader_us() });
-  if (leaderTimes_.size() > kMaxLeaderTimes) {
-    leaderTimes_.pop_front();
-  }
-}
-
-// Takes over which servers the leader considers overloaded.
-void
-Gateway::RecordOverload(const wire::LeaseGrant& aGrant, Time aNow)
-{
-  std::map<std::string_view, const wire::ServerOverload*> byServer;
-  for (const auto& overload : aGrant.overloaded()) {
-    byServer[overload.server()] = &overload;
-  }
-  for (auto& [id, server] : servers_) {
-    const auto group = groups_.find(server.info_.database());
-    if (group == groups_.end()) {
-      continue;
-    }
-    const auto found = byServer.find(id);
-    server.isOverloaded_ = found != byServer.end();
-    server.shedder_.SetSharedPressure(
-      server.isOverloaded_ ? found->second->permille() / 1000.0 : 0,
-      group->second.ranks_.size(),
-      aNow);
-    if (server.isOverloaded_ && found->second->connections_scarce()) {
-      server.connectionLimitAt_ = aNow;
-    }
-  }
-}
-
-// Adds what this VM has learned since its last lease request to a new one.
-void
-Gateway::AddReports(wire::LeaseRequest& aRequest)
-{
-  aRequest.set_leader_term(leaderTerm_);
-  for (auto& [name, group] : groups_) {
-    if (group.pointToReport_) {
-      *aRequest.add_points() = std::move(*group.pointToReport_);
-      group.pointToReport_.reset();
-    }
-  }
-  for (auto& [id, server] : servers_) {
-    if (server.hasSlowAnswers_ || server.answers_.connection_limit() ||
-        (server.isOverloaded_ && server.answers_.count() > 0)) {
-      server.answers_.set_server(id);
-      *aRequest.add_answers() = server.answers_;
-    }
-    server.answers_.Clear();
-    server.hasSlowAnswers_ = false;
-  }
-}
-
-// Reports the log position that the primary stated in answer to a command sent
-// at `aSentAt`, for the use of other VMs.
-void
-Gateway::ReportPrimaryPoint(const DatabaseId& aGroup,
-                            Time aSentAt,
-                            LogPoint aPoint)
-{
-  Group& group = groups_.at(aGroup);
-  const auto time = std::find_if(
-    leaderTimes_.rbegin(), leaderTimes_.rend(), [&](const LeaderTime& aTime) {
-      return aTime.receivedAt_ < aSentAt;
-    });
-  const bool isNews =
-    aSentAt >= group.log_.NewestPointAt() + kPointReportInterval;
-  if (!isNews || time == leaderTimes_.rend() || aPoint.term_ != group.term_) {
-    return;
-  }
-  wire::ReportedPoint point;
-  point.set_database(aGroup);
-  point.set_term(aPoint.term_);
-  point.set_position(aPoint.position_);
-  point.set_asked_us(time->leaderUs_);
-  group.pointToReport_ = std::move(point);
-}
-
 // Returns true while a statement that was sent under a lease of this or an
 // earlier term runs on a server.
 bool
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -30,11 +30,6 @@
 // connection limit.
 constexpr Duration kConnectionLimitDelay = 60ms;
 constexpr int kMaxAttempts = 6; // of one statement
-// A response time counts for no more in reports to the leader, and a refusal
-// for lack of capacity for as much; 1000: too slow.
-constexpr double kMaxDelayPermille = 2000;
-// A new response time has a weight of 1/8 in the smoothed one.
-constexpr int kServiceTimeSmoothing = 8;
 
 // Returns the error's name in log lines.
 std::string_view
@@ -305,38 +300,6 @@
   }
 }
 
-// Records the time that the server took for the link's statement. It is slow if
-// it used up half of the latency target of the most urgent database; no answer
-// is slow once the configuration names no database of the group.
-void
-Gateway::RecordResponse(Server& aServer,
-                        const Link& aLink,
-                        bool aRefused,
-                        Time aNow)
-{
-  const Duration responseTime = aNow - aLink.sentAt_;
-  aServer.serviceTime_ +=
-    (responseTime - aServer.serviceTime_) / kServiceTimeSmoothing;
-  const auto work = work_.find(aLink.work_);
-  const bool commits = work != work_.end() && work->second.commitsData_;
-  if (commits && !aRefused) {
-    return; // it may have waited for a replica
-  }
-  const Group& group = groups_.at(aServer.info_.database());
-  const Duration limit = group.fastestTarget_ / 2;
-  const bool isSlow = aRefused || responseTime > limit;
-  aServer.shedder_.RecordResponse(isSlow, group.ranks_.size(), aNow);
-  aServer.answers_.set_count(aServer.answers_.count() + 1);
-  const double delay = static_cast<double>(responseTime.count()) /
-                       static_cast<double>(limit.count() + 1);
-  aServer.answers_.set_delay_permille(
-    aServer.answers_.delay_permille() +
-    static_cast<std::uint32_t>(aRefused
-                                 ? kMaxDelayPermille
-                                 : std::min(1000 * delay, kMaxDelayPermille)));
-  aServer.hasSlowAnswers_ |= isSlow;
-}
-
 void
 Gateway::Handle(ServerLinkAnswered& aEvent, Time aNow, GatewayActions& aOut)
 {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -5,7 +5,6 @@
 #include "control/ControlState.h"
 #include "control/Failover.h"
 #include "control/LeaseTable.h"
-#include "control/PrimaryPoints.h"
 #include "control/Raft.h"
 
 #include <random>
@@ -193,65 +192,6 @@
 
 } // namespace
 
-TEST_CASE("Log positions of primaries pass through the leader")
-{
-  constexpr std::uint64_t kTerm = 4;
-  PrimaryPoints points;
-  points.Reset(kTerm);
-  const Time now(500s);
-  const auto report = [&](std::uint64_t aLeaderTerm, Time aAskedAt) {
-    wire::LeaseRequest request;
-    request.set_leader_term(aLeaderTerm);
-    wire::ReportedPoint& point = *request.add_points();
-    point.set_database("db");
-    point.set_term(2);
-    point.set_position(77);
-    point.set_asked_us(aAskedAt.time_since_epoch().count());
-    points.Record(request, now);
-  };
-  const auto grantTo = [&](const VmId& aVm, Time aNow) {
-    wire::LeaseGrant grant;
-    points.AddTo(aVm, grant, aNow);
-    return grant;
-  };
-
-  SECTION("with the age that the leader's clock gives them")
-  {
-    report(kTerm, now - 200ms);
-    const auto grant = grantTo("vm-1", now + 100ms);
-    REQUIRE(grant.points_size() == 1);
-    CHECK(grant.points(0).position() == 77);
-    CHECK(grant.points(0).age_us() == Duration(300ms).count());
-    CHECK(grant.leader_us() == (now + 100ms).time_since_epoch().count());
-  }
-
-  SECTION("once to each VM, until a much newer one is known")
-  {
-    report(kTerm, now - 500ms);
-    CHECK(grantTo("vm-1", now).points_size() == 1);
-    report(kTerm, now - 400ms);
-    CHECK(grantTo("vm-1", now).points_size() == 0);
-    CHECK(grantTo("vm-2", now).points_size() == 1);
-    report(kTerm, now - 100ms);
-    CHECK(grantTo("vm-1", now).points_size() == 1);
-  }
-
-  SECTION("not if they refer to the clock of another leader, or to the future")
-  {
-    report(kTerm - 1, now - 200ms);
-    report(kTerm, now + 1ms);
-    CHECK(grantTo("vm-1", now).points_size() == 0);
-  }
-
-  SECTION("not if they are too old, or of an earlier leadership")
-  {
-    report(kTerm, now - 200ms);
-    CHECK(grantTo("vm-1", now + 5s).points_size() == 0);
-    points.Reset(kTerm + 1);
-    CHECK(grantTo("vm-2", now).points_size() == 0);
-  }
-}
-
 TEST_CASE("Leases on primaries")
 {
   StateLog log = MakeGroup();
