Test: positions are reported with a leader's time from before the question

Two mutations were tried: ages of shared positions ignored (gateway_test fails, the random world does not), and the leader's newest time reported (this test fails, nothing did before).

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -367,6 +367,38 @@
     }
   }
 
+  SECTION("a log position is reported with a time from before the question")
+  {
+    GatewayFixture fixture;
+    const auto grantAt = [&](std::int64_t aLeaderUs) {
+      wire::LeaseGrant grant;
+      grant.set_leader_term(3);
+      grant.set_leader_us(aLeaderUs);
+      fixture.now_ += 1ms;
+      fixture.Grant(60s, grant);
+      fixture.now_ += 1ms;
+    };
+    constexpr std::int64_t kBefore = 5'000'000;
+    grantAt(kBefore);
+    fixture.Step(SessionOpenRequested{ 1, "all" });
+    fixture.Send(1, StatementKind::Read, "q1");
+    fixture.Open("server-1");
+    grantAt(kBefore + 400'000); // the primary has been asked already
+    fixture.Answer("server-1", { 1, 7 });
+    fixture.actions_.clear();
+    fixture.Wait(200ms);
+    std::vector<wire::ReportedPoint> reported;
+    for (const auto& action : fixture.actions_) {
+      if (const auto* request = std::get_if<SendLeaseRequest>(&action)) {
+        const auto& points = request->request_.points();
+        reported.insert(reported.end(), points.begin(), points.end());
+      }
+    }
+    REQUIRE(reported.size() == 1);
+    CHECK(reported[0].position() == 7);
+    CHECK(reported[0].asked_us() == kBefore);
+  }
+
   SECTION("a session waits for the databases to be known, then is refused")
   {
     Gateway gateway(GatewayConfig{});
