A late announcement does not bring a leaving server back

Nobody saw it; found while looking for the cause of DRAIN elsewhere. A plain heartbeat is not written to the control log when nothing else has changed, so the sequence number there is old. A server that deregistered counted as leaving under that number plus one, and a heartbeat from before, delayed on its way, had a higher one: the server was in use again, or its deregistration was ignored.

Announcements of one start of a server are now ordered by whether it leaves, then by number. That a server leaves holds until it starts again. A control VM that still remembers an earlier start no longer marks the new one as leaving.

The two new sections of control_test fail with the former order.

--- a/control/ControlNodeView.cpp
+++ b/control/ControlNodeView.cpp
@@ -94,7 +94,10 @@
   auto view = BuildFleetView(state_, ListVms(), stateProven_);
   for (const auto& [id, announcement] : announcements_) {
     const auto found = view->servers_.find(id);
-    if (announcement.info_.leaving() && found != view->servers_.end()) {
+    const bool isNewest = found != view->servers_.end() &&
+                          GetAnnouncementOrder(announcement.info_) >=
+                            GetAnnouncementOrder(found->second.info_);
+    if (announcement.info_.leaving() && isNewest) {
       found->second.info_.set_leaving(true);
     }
   }
--- a/control/ControlState.cpp
+++ b/control/ControlState.cpp
@@ -170,15 +170,20 @@
   databaseByServer_.erase(known);
 }
 
+AnnouncementOrder
+GetAnnouncementOrder(const wire::Upstream& aServer)
+{
+  const bool leaves = aServer.born_ms() > 0 && aServer.leaving();
+  return { aServer.born_ms(), leaves, aServer.sequence() };
+}
+
 bool
 ControlState::IsNewerAnnouncement(const wire::Upstream& aInfo) const
 {
   const wire::Upstream* known = FindServer(aInfo.server());
   if (known != nullptr) {
-    const auto getOrder = [](const wire::Upstream& aServer) {
-      return std::pair(aServer.born_ms(), aServer.sequence());
-    };
-    return aInfo.born_ms() == 0 || getOrder(aInfo) > getOrder(*known);
+    return aInfo.born_ms() == 0 ||
+           GetAnnouncementOrder(aInfo) > GetAnnouncementOrder(*known);
   }
   for (const auto& [name, database] : databases_) {
     for (const auto& other : database.servers()) {
--- a/control/ControlState.h
+++ b/control/ControlState.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace jaydoor {
@@ -32,6 +33,13 @@
 inline constexpr std::size_t kKeptChanges = 1024;
 inline constexpr std::size_t kKeptChangeBytes = 1024UL * 1024;
 
+// Order of the announcements of a server: by its start, then by whether it is
+// leaving, then by sequence number. That it leaves is its last word until it is
+// started again, even if an earlier announcement arrives late.
+using AnnouncementOrder = std::tuple<std::uint64_t, bool, std::uint64_t>;
+AnnouncementOrder
+GetAnnouncementOrder(const wire::Upstream& aServer);
+
 class ControlState
 {
 public:
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -657,6 +657,19 @@
     CHECK(log.state_.FindServer("s1")->leaving());
   }
 
+  SECTION("a server that leaves does not stay after all in the same run")
+  {
+    log.Announce("s1", "a", 10, 9, false, 1000);
+    CHECK(log.state_.FindServer("s1")->leaving());
+  }
+
+  SECTION("that it leaves counts even with an older sequence number")
+  {
+    log.Announce("s3", "a", 10, 50, false, 1001);
+    log.Announce("s3", "a", 10, 2, true, 1001);
+    CHECK(log.state_.FindServer("s3")->leaving());
+  }
+
   SECTION("a new run starts its sequence numbers again")
   {
     log.Announce("s1", "a", 11, 1, false, 1000);
