That a server leaves is acknowledged once the control log says so

A control VM acknowledged at once that a server leaves or exits. If it then lost power, or could not reach the leader, the others went on using the server, and its owner counted the drain bound from that acknowledgement.

Deregistration goes by the newest announcement known to the VM, not only by the control log.

The section 'a VM that can't reach the others does not acknowledge it' fails with an answer at once. In the other two the message to the leader was sent before the VM was killed, so that they hold with the former code too.

--- a/base/Log.h
+++ b/base/Log.h
@@ -86,6 +86,7 @@
   ServerOverloaded = 424,
   ServerRetired = 425,
   AnnounceRefused = 430,
+  AnnounceUnrecorded = 431,
   LinesDropped = 440,
 };
 
--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -19,6 +19,8 @@
 // A server that has announced itself to this VM counts as gone after this time
 // without an announcement.
 constexpr Duration kAnnouncementTimeout = 30s;
+// A server asks another VM if it got no answer for a second.
+constexpr Duration kAnnouncementAnswerTimeout = 800ms;
 
 // True if both describe the server alike. The sequence numbers are not
 // compared, since each announcement has another one.
@@ -394,10 +396,13 @@
 ControlNode::Handle(UpstreamAnnounced& aEvent, Time aNow, ControlActions&)
 {
   const wire::Upstream& info = aEvent.upstream_;
+  if (aEvent.call_ != 0) {
+    awaitedAnnouncements_.push_back(
+      { info, aEvent.call_, aNow + kAnnouncementAnswerTimeout });
+  }
   Announcement& announcement = announcements_[info.server()];
   const bool delayed =
-    std::pair(info.born_ms(), info.sequence()) <
-    std::pair(announcement.info_.born_ms(), announcement.info_.sequence());
+    GetAnnouncementOrder(info) < GetAnnouncementOrder(announcement.info_);
   if (delayed || !state_.IsNewerAnnouncement(info)) {
     return; // it is no newer than what is known of the server or its address
   }
@@ -416,6 +421,57 @@
   pending.change_.set_gone(false);
 }
 
+// A server that exits is announced as leaving, so that it gets no more
+// statements.
+void
+ControlNode::Handle(UpstreamDeregistered& aEvent,
+                    Time aNow,
+                    ControlActions& aOut)
+{
+  const wire::Upstream* known = state_.FindServer(aEvent.server_);
+  const auto announced = announcements_.find(aEvent.server_);
+  wire::Upstream info;
+  if (known != nullptr) {
+    info = *known;
+  }
+  if (announced != announcements_.end() &&
+      GetAnnouncementOrder(announced->second.info_) >
+        GetAnnouncementOrder(info)) {
+    info = announced->second.info_;
+  }
+  if (info.server().empty()) {
+    aOut.push_back(AnswerAnnouncement{ aEvent.call_, true });
+    return; // an unknown server gets no statements
+  }
+  info.set_leaving(true);
+  info.set_sequence(info.sequence() + 1);
+  UpstreamAnnounced announcement{ std::move(info), aEvent.call_ };
+  Handle(announcement, aNow, aOut);
+}
+
+// Answers announcements once the control log contains them or newer ones, or
+// with failure once they have waited for too long.
+void
+ControlNode::TickAwaitedAnnouncements(Time aNow, ControlActions& aOut)
+{
+  std::erase_if(awaitedAnnouncements_, [&](const auto& aAwaited) {
+    const wire::Upstream& info = aAwaited.info_;
+    const wire::Upstream* known = state_.FindServer(info.server());
+    const bool recorded = !state_.IsNewerAnnouncement(info) ||
+                          (known != nullptr && IsSameDescription(*known, info));
+    const bool finished = recorded || aNow >= aAwaited.answerUntil_;
+    if (finished) {
+      aOut.push_back(AnswerAnnouncement{ aAwaited.call_, recorded });
+    }
+    if (finished && !recorded) {
+      aOut.push_back(LogControlEvent{
+        Event::AnnounceUnrecorded,
+        fmt::format("server={} leaving={}", info.server(), info.leaving()) });
+    }
+    return finished;
+  });
+}
+
 // Proposes to remove servers that this VM owns, that have announced themselves
 // here, and that have not done so for kAnnouncementTimeout. A server that never
 // announced itself here is kept: it may announce itself to other VMs.
@@ -550,6 +606,7 @@
 ControlNode::FinishStep(Time aNow, ControlActions& aOut)
 {
   TickPendingChanges(aNow, aOut);
+  TickAwaitedAnnouncements(aNow, aOut);
   TickDocumentWrites(aNow, aOut);
   TickDocumentReads(aNow, aOut);
   if (state_.Index() > pushedIndex_) {
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -42,6 +42,14 @@
 struct UpstreamAnnounced
 {
   wire::Upstream upstream_;
+  std::uint64_t call_ = 0; // answered by AnswerAnnouncement; 0: no answer
+};
+
+// An upstream has said to this VM that it exits.
+struct UpstreamDeregistered
+{
+  ServerId server_;
+  std::uint64_t call_ = 0; // answered by AnswerAnnouncement
 };
 
 // The traffic thread of this VM suspects a primary, or suspects it no longer.
@@ -118,6 +126,7 @@
 
 using ControlEvent = std::variant<ControlMessageReceived,
                                   UpstreamAnnounced,
+                                  UpstreamDeregistered,
                                   SuspicionReported,
                                   PromoterRequestCompleted,
                                   RuleChangeRequested,
@@ -147,6 +156,15 @@
   std::optional<wire::RuleOutcome> outcome_; // none: not known yet
 };
 
+// Answers UpstreamAnnounced and UpstreamDeregistered.
+struct AnswerAnnouncement
+{
+  std::uint64_t call_ = 0;
+  // The control log contains the announcement or a newer one. False: not known
+  // yet; the upstream has to announce itself again, to any VM.
+  bool recorded_ = false;
+};
+
 // Answers DocumentWriteRequested. If the result is not known, the operator can
 // safely send the same configuration again.
 struct AnswerDocumentWrite
@@ -184,6 +202,7 @@
                                    SendPromoterRequest,
                                    PublishView,
                                    AnswerRuleChange,
+                                   AnswerAnnouncement,
                                    AnswerDocumentWrite,
                                    AnswerDocumentRead,
                                    RequestServerStatus,
@@ -289,6 +308,14 @@
     Time nextProposalAt_;
   };
 
+  // An announcement whose sender waits until it is in the control log.
+  struct AwaitedAnnouncement
+  {
+    wire::Upstream info_;
+    std::uint64_t call_ = 0;
+    Time answerUntil_;
+  };
+
   // The newest announcement of an upstream to this VM.
   struct Announcement
   {
@@ -298,6 +325,7 @@
 
   void Handle(ControlMessageReceived& aEvent, Time aNow, ControlActions& aOut);
   void Handle(UpstreamAnnounced& aEvent, Time aNow, ControlActions& aOut);
+  void Handle(UpstreamDeregistered& aEvent, Time aNow, ControlActions& aOut);
   void Handle(SuspicionReported& aEvent, Time aNow, ControlActions& aOut);
   void Handle(PromoterRequestCompleted& aEvent,
               Time aNow,
@@ -354,6 +382,7 @@
   void TickFounding(Time aNow, ControlActions& aOut);
   void TickPromotions(Time aNow, ControlActions& aOut);
   void TickPendingChanges(Time aNow, ControlActions& aOut);
+  void TickAwaitedAnnouncements(Time aNow, ControlActions& aOut);
   void TickStateProof(Time aNow, ControlActions& aOut);
   void TickGoneUpstreams(Time aNow);
   void TickCompaction(Time aNow, ControlActions& aOut);
@@ -408,6 +437,7 @@
   std::uint64_t proposedDocumentVersion_ = 0;
   std::map<ServerId, PendingUpstreamChange> pendingUpstreamChanges_;
   std::map<ServerId, Announcement> announcements_; // made to this VM
+  std::vector<AwaitedAnnouncement> awaitedAnnouncements_;
   // Recorded while this voter is blank itself.
   std::map<VoterId, Time> blankVotersHeardAt_;
   Time nextFoundingAt_;
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -238,11 +238,12 @@
     pendingReplies_.erase(found);
   }
 
-  // ---- The operators' configuration
+  // ---- Calls that wait for the control log: the operators' configuration, and
+  // servers that leave
 
-  struct PendingDocument
+  struct PendingAnswer
   {
-    explicit PendingDocument(asio::io_context& aContext)
+    explicit PendingAnswer(asio::io_context& aContext)
       : doneTimer_(aContext, kOperatorTimeout)
     {
     }
@@ -252,29 +253,29 @@
     bool stored_ = false;
     std::shared_ptr<const std::string> body_;
   };
-  using PendingDocumentPtr = std::shared_ptr<PendingDocument>;
+  using PendingAnswerPtr = std::shared_ptr<PendingAnswer>;
 
-  asio::awaitable<PendingDocumentPtr> AwaitDocument(ControlEvent aEvent,
-                                                    std::uint64_t aId)
+  asio::awaitable<PendingAnswerPtr> AwaitAnswer(ControlEvent aEvent,
+                                                std::uint64_t aId)
   {
-    auto pending = std::make_shared<PendingDocument>(context_);
-    pendingDocuments_[aId] = pending;
+    auto pending = std::make_shared<PendingAnswer>(context_);
+    pendingAnswers_[aId] = pending;
     Step(std::move(aEvent));
     boost::system::error_code ignored;
     if (!pending->finished_) {
       co_await pending->doneTimer_.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     }
-    pendingDocuments_.erase(aId);
+    pendingAnswers_.erase(aId);
     co_return pending;
   }
 
-  void FinishDocument(std::uint64_t aId,
-                      bool aStored,
-                      std::shared_ptr<const std::string> aBody)
+  void FinishAnswer(std::uint64_t aId,
+                    bool aStored,
+                    std::shared_ptr<const std::string> aBody)
   {
-    const auto found = pendingDocuments_.find(aId);
-    if (found != pendingDocuments_.end()) {
+    const auto found = pendingAnswers_.find(aId);
+    if (found != pendingAnswers_.end()) {
       found->second->finished_ = true;
       found->second->stored_ = aStored;
       found->second->body_ = std::move(aBody);
@@ -282,16 +283,21 @@
     }
   }
 
+  void Perform(AnswerAnnouncement& aAction)
+  {
+    FinishAnswer(aAction.call_, aAction.recorded_, nullptr);
+  }
+
   void Perform(AnswerDocumentWrite& aAction)
   {
-    FinishDocument(aAction.operatorCall_, aAction.stored_, nullptr);
+    FinishAnswer(aAction.operatorCall_, aAction.stored_, nullptr);
   }
 
   void Perform(AnswerDocumentRead& aAction)
   {
-    FinishDocument(aAction.operatorCall_,
-                   aAction.body_ != nullptr,
-                   std::move(aAction.body_));
+    FinishAnswer(aAction.operatorCall_,
+                 aAction.body_ != nullptr,
+                 std::move(aAction.body_));
   }
 
   // ---- Leases and promotions
@@ -542,7 +548,7 @@
   DatagramSocket datagrams_;
   std::map<std::uint64_t, std::shared_ptr<HttpClient>> promoterClients_;
   std::map<std::uint64_t, PendingReplyPtr> pendingReplies_;
-  std::map<std::uint64_t, PendingDocumentPtr> pendingDocuments_;
+  std::map<std::uint64_t, PendingAnswerPtr> pendingAnswers_;
   std::uint64_t nextOperatorCall_ = 1;
   std::set<VmId> addressedVms_; // if ids are hosts: VMs sent to so far
 };
@@ -582,6 +588,24 @@
   impl_->Step(UpstreamAnnounced{ std::move(aUpstream) });
 }
 
+asio::awaitable<bool>
+ControlShell::RecordLeaving(wire::Upstream aUpstream)
+{
+  const std::uint64_t id = impl_->nextOperatorCall_++;
+  ControlEvent event = UpstreamAnnounced{ std::move(aUpstream), id };
+  const auto pending = co_await impl_->AwaitAnswer(std::move(event), id);
+  co_return pending->stored_;
+}
+
+asio::awaitable<bool>
+ControlShell::RecordDeregistration(ServerId aServer)
+{
+  const std::uint64_t id = impl_->nextOperatorCall_++;
+  ControlEvent event = UpstreamDeregistered{ std::move(aServer), id };
+  const auto pending = co_await impl_->AwaitAnswer(std::move(event), id);
+  co_return pending->stored_;
+}
+
 asio::awaitable<bool>
 ControlShell::StoreDocument(wire::Document aDocument)
 {
@@ -589,7 +613,7 @@
   aDocument.set_body(Compress(aDocument.body()));
   // A named variable, because gcc 12 destroys temporaries of a co_await twice.
   ControlEvent event = DocumentWriteRequested{ id, std::move(aDocument) };
-  const auto pending = co_await impl_->AwaitDocument(std::move(event), id);
+  const auto pending = co_await impl_->AwaitAnswer(std::move(event), id);
   co_return pending->stored_;
 }
 
@@ -598,7 +622,7 @@
 {
   const std::uint64_t id = impl_->nextOperatorCall_++;
   ControlEvent event = DocumentReadRequested{ id };
-  const auto pending = co_await impl_->AwaitDocument(std::move(event), id);
+  const auto pending = co_await impl_->AwaitAnswer(std::move(event), id);
   co_return pending->body_;
 }
 
--- a/daemon/ControlShell.h
+++ b/daemon/ControlShell.h
@@ -72,6 +72,12 @@
 
   // Registers an upstream with the fleet, or updates its entry.
   void AnnounceUpstream(wire::Upstream aUpstream);
+  // The same for a server that is leaving. Returns true once the control log
+  // says so, and false if that takes too long: the server has to try another
+  // VM.
+  boost::asio::awaitable<bool> RecordLeaving(wire::Upstream aUpstream);
+  // The server exits. Returns as RecordLeaving does.
+  boost::asio::awaitable<bool> RecordDeregistration(ServerId aServer);
   // Stores the operators' configuration; the body is as the operator sent it.
   // True once this configuration or a later one is stored durably, false if
   // this is not known within the time limit for operator requests.
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -119,6 +119,48 @@
   }
 }
 
+std::uint64_t
+VoterWorld::SayLeaving(const VmId& aVm, const ServerId& aServer)
+{
+  const std::uint64_t call = nextOperatorCall_++;
+  Vm& vm = vms_.at(aVm);
+  wire::Upstream server;
+  for (const auto& [id, other] : vms_) {
+    if (other.up_ && other.node_->State().FindServer(aServer) != nullptr) {
+      server = *other.node_->State().FindServer(aServer);
+    }
+  }
+  server.set_leaving(true);
+  server.set_sequence(server.sequence() + 1);
+  StepNode(vm, UpstreamAnnounced{ std::move(server), call });
+  return call;
+}
+
+std::uint64_t
+VoterWorld::Deregister(const VmId& aVm, const ServerId& aServer)
+{
+  const std::uint64_t call = nextOperatorCall_++;
+  StepNode(vms_.at(aVm), UpstreamDeregistered{ aServer, call });
+  return call;
+}
+
+std::optional<bool>
+VoterWorld::FindAnswer(std::uint64_t aCall) const
+{
+  const auto found = announcementAnswers_.find(aCall);
+  return found == announcementAnswers_.end() ? std::nullopt
+                                             : std::optional(found->second);
+}
+
+bool
+VoterWorld::IsLeavingAt(const VmId& aVm, const ServerId& aServer) const
+{
+  const Vm& vm = vms_.at(aVm);
+  const wire::Upstream* server =
+    vm.up_ ? vm.node_->State().FindServer(aServer) : nullptr;
+  return server != nullptr && server->leaving();
+}
+
 void
 VoterWorld::LosePrimaries()
 {
@@ -273,6 +315,8 @@
       highestStored_ = std::max(highestStored_, found->second);
       storedCount_++;
     }
+  } else if (auto* recorded = std::get_if<AnswerAnnouncement>(&aAction)) {
+    announcementAnswers_[recorded->call_] = recorded->recorded_;
   } else if (auto* deliver = std::get_if<DeliverLeaseRevocation>(&aAction)) {
     if (releasingVms_.contains(id)) {
       wire::LeaseRelease release;
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -80,6 +80,17 @@
   void SetDocumentBytes(std::size_t aBytes) { documentBytes_ = aBytes; }
   // Two servers of the database announce themselves, the first as its primary.
   void AnnounceDatabase(const DatabaseId& aDatabase);
+  // A server of the database says to the VM that it leaves, or deregisters.
+  // Returns the number of the call.
+  std::uint64_t SayLeaving(const VmId& aVm, const ServerId& aServer);
+  std::uint64_t Deregister(const VmId& aVm, const ServerId& aServer);
+  // What the VM answered to such a call: whether it is recorded. None: no
+  // answer yet.
+  std::optional<bool> FindAnswer(std::uint64_t aCall) const;
+  // Whether the server is leaving by the control state of the VM.
+  bool IsLeavingAt(const VmId& aVm, const ServerId& aServer) const;
+  void Isolate(const VmId& aVm) { isolated_.insert(aVm); }
+  void Rejoin(const VmId& aVm) { isolated_.erase(aVm); }
   // The primary of each announced database fails, and all VMs without a data
   // folder suspect it.
   void LosePrimaries();
@@ -151,6 +162,7 @@
     observer_;
   bool losesPushes_ = false;
   std::set<DatabaseId> databases_;
+  std::map<std::uint64_t, bool> announcementAnswers_; // by call
   bool primariesLost_ = false;
   std::set<VmId> releasingVms_;
   std::size_t documentBytes_ = 0;
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -2,6 +2,7 @@
 // limit has passed, whatever else is wrong with their group.
 
 #include "gateway/Gateway.h"
+#include "tests/VoterWorld.h"
 
 #include <algorithm>
 
@@ -382,4 +383,64 @@
   }
 }
 
+TEST_CASE("What a control VM acknowledged of a leaving server is not lost",
+          "[drain]")
+{
+  const VmId first = "10.0.0.1";
+  VoterWorld world(1, 3, 2);
+  world.StopFaults();
+  world.Run(4s);
+  world.AnnounceDatabase("db");
+  world.Run(1s);
+
+  // Runs until the call is answered, for a second at most.
+  const auto awaitAnswer = [&world](std::uint64_t aCall) {
+    for (int i = 0; i < 1000 && !world.FindAnswer(aCall); i++) {
+      world.Run(1ms);
+    }
+    return world.FindAnswer(aCall);
+  };
+  const auto isLeavingEverywhere = [&](const VmId& aExcept) {
+    const auto vms = world.ListVms();
+    return std::all_of(vms.begin(), vms.end(), [&](const VmId& aVm) {
+      return aVm == aExcept || world.IsLeavingAt(aVm, "db-replica");
+    });
+  };
+
+  SECTION("the VM loses power right after the acknowledgement")
+  {
+    for (const VmId& vm : { first, VmId("10.0.0.2"), VmId("10.0.0.3") }) {
+      const auto call = world.SayLeaving(vm, "db-replica");
+      REQUIRE(awaitAnswer(call) == true);
+      world.Kill(vm);
+      world.Run(5s);
+      CHECK(isLeavingEverywhere(vm));
+      world.Start(vm);
+      world.Run(4s);
+    }
+  }
+
+  SECTION("a VM that can't reach the others does not acknowledge it")
+  {
+    world.Isolate(first);
+    const auto call = world.SayLeaving(first, "db-replica");
+    CHECK(awaitAnswer(call) == false);
+    CHECK_FALSE(world.IsLeavingAt("10.0.0.4", "db-replica"));
+    world.Rejoin(first);
+    world.Run(5s);
+    CHECK(isLeavingEverywhere(""));
+  }
+
+  SECTION("a server that exits without having said that it leaves")
+  {
+    // This VM has heard nothing of the server but through the control log.
+    const auto call = world.Deregister("10.0.0.3", "db-replica");
+    REQUIRE(awaitAnswer(call) == true);
+    world.Kill("10.0.0.3");
+    world.Run(5s);
+    CHECK(isLeavingEverywhere("10.0.0.3"));
+    CHECK(awaitAnswer(world.Deregister(first, "unknown")) == true);
+  }
+}
+
 } // namespace jaydoor::tests
