--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -31,6 +31,15 @@
   return aLeft.SerializeAsString() == aRight.SerializeAsString();
 }
 
+// True if other VMs can read the description. Texts that are not UTF-8 can be
+// written into a message, but not read from it.
+bool
+IsReadable(const wire::Upstream& aInfo)
+{
+  wire::Upstream copy;
+  return copy.ParseFromString(aInfo.SerializeAsString());
+}
+
 } // namespace
 
 bool
@@ -393,9 +402,15 @@
 // ---- Upstreams that announce themselves
 
 void
-ControlNode::Handle(UpstreamAnnounced& aEvent, Time aNow, ControlActions&)
+ControlNode::Handle(UpstreamAnnounced& aEvent, Time aNow, ControlActions& aOut)
 {
   const wire::Upstream& info = aEvent.upstream_;
+  if (!IsReadable(info)) {
+    // In the control log it would stop all VMs.
+    aOut.push_back(LogControlEvent{ Event::AnnounceRefused,
+                                    "cause=\"a text of it is not UTF-8\"" });
+    return;
+  }
   if (aEvent.call_ != 0) {
     awaitedAnnouncements_.push_back(
       { info, aEvent.call_, aNow + kAnnouncementAnswerTimeout });
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -152,6 +152,13 @@
                                              : std::optional(found->second);
 }
 
+bool
+VoterWorld::IsKnownAt(const VmId& aVm, const ServerId& aServer) const
+{
+  const Vm& vm = vms_.at(aVm);
+  return vm.up_ && vm.node_->State().FindServer(aServer) != nullptr;
+}
+
 bool
 VoterWorld::IsLeavingAt(const VmId& aVm, const ServerId& aServer) const
 {
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -87,6 +87,8 @@
   // What the VM answered to such a call: whether it is recorded. None: no
   // answer yet.
   std::optional<bool> FindAnswer(std::uint64_t aCall) const;
+  // Whether the server is in the control state of the VM.
+  bool IsKnownAt(const VmId& aVm, const ServerId& aServer) const;
   // Whether the server is leaving by the control state of the VM.
   bool IsLeavingAt(const VmId& aVm, const ServerId& aServer) const;
   void Isolate(const VmId& aVm) { isolated_.insert(aVm); }
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -288,6 +288,20 @@
       .status_;
   }
 
+  // Returns the HTTP status; 0: no answer.
+  unsigned SendHeartbeat(int aZone,
+                         const std::string& aServer,
+                         const std::string& aBody) const
+  {
+    return CallAndWait(ControlHost(aZone),
+                       kControlPort,
+                       "/Instances.Heartbeat/" + aServer,
+                       aBody,
+                       2s,
+                       "")
+      .status_;
+  }
+
   HttpCallResult FetchConfig(int aZone) const
   {
     return CallAndWait(
@@ -462,6 +476,59 @@
             [](auto& aGroup) { return aGroup.Primary(); }) != formerPrimary);
   }
 
+  SECTION("odd entries among the announcements of servers change nothing")
+  {
+    const auto makeBody = [](const std::string& aAddress,
+                             const std::string& aNumber) {
+      return fmt::format(
+        R"({{"service":"db","address":"{}","zone":"zone-1","version":"v1",)"
+        R"("slots":5,"state":"ready","coldRemainingMs":0,)"
+        R"("dbRole":"replica","seqNo":{},"born":1700000000000}})",
+        aAddress,
+        aNumber);
+    };
+    const std::string good = makeBody("127.0.0.9:5000", "1");
+    const std::vector<std::pair<std::string, std::string>> odd = {
+      { "odd", makeBody("127.0.0.9:70000", "1") },
+      { "odd", makeBody("nowhere:5000", "1") },
+      { "odd", makeBody("127.0.0.9:5000", "18446744073709551615") },
+      { "odd", makeBody("127.0.0.9:5000", "1e400") },
+      { "odd", makeBody("127.0.0.9:5000", std::string(100'000, '[')) },
+      { "odd\xff\xfe", good },
+      { "", good },
+    };
+    for (int zone = 1; zone <= 3; zone++) {
+      for (const auto& [id, body] : odd) {
+        INFO(id << " " << body.substr(0, 200));
+        CHECK(deployment.SendHeartbeat(zone, id, body) == 400);
+      }
+    }
+    const auto isServing = [&](int aVersion) {
+      REQUIRE(Await([&] {
+        return deployment.ReplaceConfig(
+                 1, TestDeployment::MakeConfig(aVersion)) == 200;
+      }));
+      for (int zone = 1; zone <= 3; zone++) {
+        REQUIRE(Await([&] {
+          return deployment.FetchConfig(zone).body_ ==
+                 TestDeployment::MakeConfig(aVersion);
+        }));
+      }
+      CHECK(Await([&] { return deployment.WriteItem(1, "odd", "1"); }));
+      CHECK(Await([&] { return deployment.WriteItem(2, "odd", "2"); }));
+    };
+    isServing(10);
+    // The control VMs can read what they have written.
+    for (int zone = 1; zone <= 3; zone++) {
+      const std::string name = fmt::format("control-{}", zone);
+      CHECK_FALSE(deployment.GetProcess(name).HasEnded());
+      deployment.GetProcess(name).Signal(SIGKILL);
+      deployment.GetProcess(name).WaitForEnd(kWaitTimeout);
+      deployment.Start(name, false);
+    }
+    isServing(11);
+  }
+
   SECTION("SIGHUP with an invalid settings file changes nothing")
   {
     for (const char* text : { "nodeName: [", "" }) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 namespace jaydoor::tests {
 namespace {
@@ -274,6 +275,91 @@
     CHECK_FALSE(
       ReadHeartbeatBody("i-1", with("\"s1\"", "{\"a\":1}")).has_value());
   }
+
+  SECTION("an entry that another writer left names no server")
+  {
+    const auto isRefused = [&](std::string_view aOld, std::string_view aNew) {
+      std::string body = good;
+      REQUIRE(body.find(aOld) != std::string::npos);
+      body.replace(body.find(aOld), aOld.size(), aNew);
+      return !ReadHeartbeatBody("i-1", body).has_value();
+    };
+
+    SECTION("because it is nested too deeply")
+    {
+      const std::string open(200'000, '[');
+      CHECK(isRefused("\"v1\"", open + std::string(200'000, ']')));
+      CHECK_FALSE(ReadHeartbeatBody("i-1", open).has_value());
+    }
+
+    SECTION("because a number is out of range or no number")
+    {
+      for (const char* number : { "1e30",
+                                  "1e999",
+                                  "18446744073709551616",
+                                  "18446744073709551615",
+                                  "9007199254740993",
+                                  "-1",
+                                  "4.5",
+                                  "\"4\"",
+                                  "null",
+                                  "[4]" }) {
+        INFO(number);
+        CHECK(isRefused("\"seqNo\":4", fmt::format("\"seqNo\":{}", number)));
+        CHECK(isRefused("\"slots\":5", fmt::format("\"slots\":{}", number)));
+        CHECK(isRefused("1700000000123", number));
+      }
+      // No server can have started then.
+      CHECK(isRefused("1700000000123", "0"));
+      CHECK(isRefused("1700000000123", "1700000000123000"));
+    }
+
+    SECTION("because its address can't be connected to")
+    {
+      for (const char* address : { "10.1.0.9:65536",
+                                   "10.1.0.9:70000",
+                                   "10.1.0.9:0",
+                                   "10.1.0.9:-1",
+                                   "10.1.0.9:99999999999999999999",
+                                   "10.1.0.9:80x",
+                                   "10.1.0.9:",
+                                   "10.1.0.9",
+                                   "10.1.0.9.9:80",
+                                   "10.1.0.999:80",
+                                   "somewhere:80",
+                                   "0.0.0.0:80",
+                                   "224.0.0.1:80" }) {
+        INFO(address);
+        CHECK(isRefused("10.1.0.9:8080", address));
+      }
+    }
+
+    SECTION("because a name has bytes that no message can contain")
+    {
+      for (const std::string& name : { std::string("\xff\xfe"),
+                                       std::string("a b"),
+                                       std::string("a\r\nb"),
+                                       std::string("a\x01"),
+                                       std::string(1000, 'x') }) {
+        INFO(name);
+        CHECK_FALSE(ReadHeartbeatBody(name, good).has_value());
+      }
+      CHECK(isRefused("\"s1\"", R"("a b")"));
+      CHECK(isRefused("\"s1\"", R"("a\r\nOPEN x")"));
+      CHECK(isRefused("\"s1\"", R"("a\u0000")"));
+      CHECK(isRefused("\"s1\"", "\"\xff\""));
+      CHECK(isRefused("\"zone\":\"a\"", R"("zone":"a\u0007")"));
+    }
+
+    SECTION("because a field is missing or of another type")
+    {
+      CHECK(isRefused("\"version\":\"v1\",", ""));
+      CHECK(isRefused("\"v1\"", "1"));
+      CHECK(isRefused("\"coldRemainingMs\":0,", ""));
+      CHECK(isRefused("\"coldRemainingMs\":0", "\"coldRemainingMs\":\"0\""));
+      CHECK(isRefused("\"born\":1700000000123", "\"born\":\"1\""));
+    }
+  }
 }
 
 TEST_CASE("Settings files of the platform are read and checked")
--- a/tests/voter_test.cpp
+++ b/tests/voter_test.cpp
@@ -203,6 +203,21 @@
   }
 }
 
+TEST_CASE(
+  "An announcement that can't be read back stays out of the control log")
+{
+  VoterWorld world(1, 3, 2);
+  world.StopFaults();
+  world.Run(4s);
+  world.AnnounceDatabase("odd\xff");
+  world.AnnounceDatabase("db");
+  world.Run(1s);
+  for (const auto& vm : world.ListVms()) {
+    CHECK(world.IsKnownAt(vm, "db-replica"));
+    CHECK_FALSE(world.IsKnownAt(vm, "odd\xff-replica"));
+  }
+}
+
 TEST_CASE("The state is not sent to a restarted VM many times over")
 {
   constexpr std::size_t kVoters = 5;
