A statement whose lease ended while its link was set up is queued again

Callers could be told that a write was in doubt though it had not even been sent when the lease on the primary ran out: the lease was checked when the server was chosen, but the statement goes out only once the begin or the session's values are answered, and was then sent to a server that may have been replaced. The check before the sending now includes the lease. The new section of gateway_test failed before in both forms.

--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -637,20 +637,27 @@
   }
 }
 
-// Returns false if the statement was given up while the link was set up, or if
-// the server no longer takes new work. Statements of a transaction that has
-// begun are sent to it all the same.
+// Returns false if, while the link was set up, the statement was given up, its
+// server ceased to take new work, or the lease that the statement needs ran out
+// or was revoked. Statements of a transaction that has begun are sent all the
+// same.
 bool
 Gateway::MaySendNextCommand(ServerLinkId aLink, Time aNow) const
 {
   const Link& link = links_.at(aLink);
-  if (!work_.contains(link.work_)) {
+  const auto work = work_.find(link.work_);
+  if (work == work_.end()) {
     return false;
   }
   const auto session = sessions_.find(link.session_);
-  const bool isInTransaction =
-    session != sessions_.end() && session->second.txLink_ == aLink;
-  return isInTransaction || MayTakeWork(servers_.at(link.server_), aNow);
+  if (session != sessions_.end() && session->second.txLink_ == aLink) {
+    return true;
+  }
+  const Group& group = groups_.at(work->second.route_.group_);
+  const std::uint64_t leaseTerm = work->second.leaseTerm_;
+  const bool leased = leaseTerm == 0 || (!group.leaseDrainUntil_ &&
+                                         HoldsLease(group, leaseTerm, aNow));
+  return leased && MayTakeWork(servers_.at(link.server_), aNow);
 }
 
 // Releases a link whose statement has not been sent, and queues the statement
@@ -666,7 +673,7 @@
   if (work != work_.end()) {
     work->second.links_.erase(aLink);
     RetryOrFailWork(
-      id, SessionError::Overloaded, "the server is leaving", aNow, aOut);
+      id, SessionError::Overloaded, "no longer allowed there", aNow, aOut);
   }
 }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -168,6 +168,31 @@
       }));
   }
 
+  // Commands that were sent to servers and satisfy the condition.
+  template<typename Condition>
+  std::size_t CountCommands(Condition aCondition) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(actions_.begin(), actions_.end(), [&](const auto& aAction) {
+        const auto* send = std::get_if<SendServerCommand>(&aAction);
+        return send != nullptr && aCondition(send->command_.kind_);
+      }));
+  }
+
+  // Statements of callers that were sent to servers.
+  std::size_t CountForwarded() const
+  {
+    return CountCommands([](CommandKind aKind) {
+      return aKind == CommandKind::Forward || aKind == CommandKind::Execute;
+    });
+  }
+
+  bool HasOpenTransaction() const
+  {
+    return CountCommands(
+             [](CommandKind aKind) { return aKind == CommandKind::Begin; }) > 0;
+  }
+
   std::optional<SessionReply> LastReply() const
   {
     for (auto at = actions_.rbegin(); at != actions_.rend(); ++at) {
@@ -200,6 +225,37 @@
     CHECK(fixture.LastReply()->signature_ == "signed");
   }
 
+  SECTION("a write is not sent once the lease has run out")
+  {
+    // The server takes its time to answer the begin, or to set a value.
+    GatewayFixture fixture(200ms);
+    fixture.Step(SessionOpenRequested{ 1, "all" });
+
+    SECTION("while its transaction was begun")
+    {
+      fixture.Send(1, StatementKind::Begin, "q1");
+    }
+    SECTION("while the link was given the session's values")
+    {
+      fixture.Send(1, StatementKind::Set, "q1");
+    }
+
+    fixture.Send(1, StatementKind::Write, "q2");
+    fixture.Open("server-1");
+    const std::size_t before = fixture.Count<SendServerCommand>();
+    fixture.now_ += 300ms;
+    ServerAnswer set;
+    set.state_ = fixture.HasOpenTransaction() ? TransactionState::Open
+                                              : TransactionState::Idle;
+    fixture.Step(ServerLinkAnswered{ fixture.opened_["server-1"], set });
+    CHECK(fixture.CountForwarded() == 0);
+    fixture.Grant(60s);
+    fixture.Step(
+      ServerLinkAnswered{ fixture.opened_["server-1"], ServerAnswer{} });
+    fixture.Wait(50ms);
+    CHECK(fixture.Count<SendServerCommand>() > before);
+  }
+
   SECTION("when its link is lost, a write is in doubt and a read is retried")
   {
     GatewayFixture fixture;
