--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -673,7 +673,7 @@
   if (work != work_.end()) {
     work->second.links_.erase(aLink);
     RetryOrFailWork(
-      id, SessionError::Overloaded, "no longer allowed there", aNow, aOut);
+      id, SessionError::Overloaded, "the server or its lease ended", aNow, aOut);
   }
 }
 
--- a/tests/SessionWorld.cpp
+++ b/tests/SessionWorld.cpp
@@ -57,15 +57,7 @@
 {
   servers_[0].primary_ = true;
   for (std::size_t i = 0; i < kServers; i++) {
-    wire::Change change;
-    auto& info = *change.mutable_upstream()->mutable_upstream();
-    info.set_server(ServerName(i));
-    info.set_database(kGroup);
-    info.set_zone(fmt::format("zone-{}", i + 1));
-    info.set_host("10.0.0.1");
-    info.set_port(static_cast<std::uint32_t>(1000 + i));
-    info.set_slots(config_.slots_);
-    Apply(std::move(change));
+    AnnounceServer(i);
   }
   wire::Change primary;
   primary.mutable_primary()->set_database(kGroup);
@@ -81,6 +73,7 @@
   leases_.Reset(state_, 1, now_ - 10s);
   primaryPoints_.Reset(1);
   frozenUntil_.resize(config_.gateways_);
+  viewHeldUntil_.resize(config_.gateways_);
   for (std::size_t i = 0; i < config_.gateways_; i++) {
     GatewayConfig config;
     config.zone_ = fmt::format("zone-{}", i + 1);
@@ -107,6 +100,24 @@
   if (config_.faults_) {
     ScheduleAfter(300ms, [this] { Disturb(); });
   }
+  if (config_.leavings_) {
+    ScheduleAfter(500ms, [this] { LeaveServers(); });
+  }
+}
+
+void
+SessionWorld::AnnounceServer(std::size_t aServer)
+{
+  wire::Change change;
+  auto& info = *change.mutable_upstream()->mutable_upstream();
+  info.set_server(ServerName(aServer));
+  info.set_database(kGroup);
+  info.set_zone(fmt::format("zone-{}", aServer + 1));
+  info.set_host("10.0.0.1");
+  info.set_port(static_cast<std::uint32_t>(1000 + aServer));
+  info.set_slots(config_.slots_);
+  info.set_leaving(servers_[aServer].leavingSince_.has_value());
+  Apply(std::move(change));
 }
 
 void
@@ -149,6 +160,9 @@
 {
   const FleetViewPtr view = BuildFleetView(state_, {}, true);
   for (std::size_t i = 0; i < gateways_.size(); i++) {
+    if (now_ < viewHeldUntil_[i]) {
+      continue;
+    }
     ScheduleAfter(kNetDelay * (1 + random_() % 20), [this, i, view] {
       StepGateway(i, FleetOrCatalogChanged{ view, MakeCatalog() });
     });
@@ -170,6 +184,7 @@
   if (!grant) {
     return;
   }
+  grant->set_applied(state_.Index());
   primaryPoints_.Record(aRequest, now_ + kLeaderClockOffset);
   primaryPoints_.AddTo(vm, *grant, now_ + kLeaderClockOffset);
   ScheduleAfter(kNetDelay * (1 + random_() % 30), [this, aGateway, grant] {
@@ -370,6 +385,12 @@
   }
   const Caller& caller = callers_[known->second];
   const bool current = caller.waiting_ == aCommand.id_;
+  const bool isNewWork = !aConnection.inside_ || aConnection.owner_.empty();
+  Check(!isNewWork || !server.leavingSince_ ||
+          now_ - *server.leavingSince_ < kServerDrainBound,
+        fmt::format("a statement reached {} after it had been leaving for too "
+                    "long",
+                    ServerName(aConnection.server_)));
   if (!Holds(server, aCommand.minPoint_)) {
     answer.error_ = SessionError::Behind;
     return answer;
@@ -662,4 +683,38 @@
   ScheduleAfter(700ms + Duration(random_() % 1'500'000), [this] { Disturb(); });
 }
 
+// Some servers leave. They stay again once the drain bound has passed for long
+// enough to see what still reaches them.
+void
+SessionWorld::LeaveServers()
+{
+  if (random_() % 2 == 0) {
+    const std::size_t gateway = random_() % gateways_.size();
+    const Duration held(random_() % 6'000'000);
+    viewHeldUntil_[gateway] = now_ + held;
+    ScheduleAfter(held, [this] { PublishFleet(); });
+  }
+  for (std::size_t i = 0; i < kServers; i++) {
+    if (random_() % 2 == 0) {
+      servers_[i].leavingSince_ = now_;
+      leavings_++;
+      AnnounceServer(i);
+    }
+  }
+  PublishFleet();
+  if (servers_[Primary()].leavingSince_ && random_() % 2 == 0) {
+    ChangePrimary(true);
+  }
+  ScheduleAfter(kServerDrainBound + 3s, [this] {
+    for (std::size_t i = 0; i < kServers; i++) {
+      if (servers_[i].leavingSince_) {
+        servers_[i].leavingSince_.reset();
+        AnnounceServer(i);
+      }
+    }
+    PublishFleet();
+    ScheduleAfter(1s, [this] { LeaveServers(); });
+  });
+}
+
 } // namespace jaydoor::tests
--- a/tests/SessionWorld.h
+++ b/tests/SessionWorld.h
@@ -33,8 +33,14 @@
   unsigned slots_ = 3;
   unsigned connections_ = 20;
   bool faults_ = true;
+  // Servers say that they leave, some of them all at the same time, and stay
+  // again after the drain bound. The news reaches some gateways late.
+  bool leavings_ = false;
 };
 
+// A server that says that it leaves is given new work for less than this time.
+constexpr Duration kServerDrainBound = 7s;
+
 class SessionWorld : private Timeline
 {
 public:
@@ -47,6 +53,7 @@
   std::size_t Done() const { return done_; }
   std::size_t Refused() const { return refused_; }
   std::size_t Promotions() const { return promotions_; }
+  std::size_t Leavings() const { return leavings_; }
 
   // Faults by hand.
   void CrashServer(std::size_t aServer);
@@ -87,6 +94,7 @@
     std::vector<Commit> log_;
     unsigned running_ = 0;
     std::uint64_t run_ = 1; // raised at each crash
+    std::optional<Time> leavingSince_;
   };
 
   struct Caller
@@ -151,12 +159,15 @@
   void Send(std::size_t aCaller, SessionStatement aStatement);
   void Answered(std::size_t aCaller, const SessionReply& aReply);
   void Disturb();
+  void AnnounceServer(std::size_t aServer);
+  void LeaveServers();
   void FinishPromotion();
 
   SessionWorldConfig config_;
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<Time> frozenUntil_;
+  std::vector<Time> viewHeldUntil_; // by gateway: it gets no view before
   std::vector<Server> servers_;
   std::map<ConnectionKey, Connection> connections_;
   std::vector<Caller> callers_;
@@ -175,6 +186,7 @@
   std::size_t done_ = 0;
   std::size_t refused_ = 0;
   std::size_t promotions_ = 0;
+  std::size_t leavings_ = 0;
   std::vector<std::string> failures_;
 };
 
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -2,6 +2,7 @@
 // limit has passed, whatever else is wrong with their group.
 
 #include "gateway/Gateway.h"
+#include "tests/SessionWorld.h"
 #include "tests/VoterWorld.h"
 
 #include <algorithm>
@@ -11,8 +12,7 @@
 namespace jaydoor::tests {
 namespace {
 
-// A server that says that it leaves is given new work for less than this time.
-constexpr Duration kDrainBound = 7s;
+constexpr Duration kDrainBound = kServerDrainBound;
 constexpr Duration kGrantInterval = 150ms;
 
 // A gateway in front of one group of three servers, a leader that grants leases
@@ -383,6 +383,28 @@
   }
 }
 
+TEST_CASE("No leaving server gets new work too late under random faults",
+          "[drain]")
+{
+  std::size_t done = 0;
+  std::size_t leavings = 0;
+  for (std::uint64_t seed = 1; seed <= 20; seed++) {
+    SessionWorldConfig config;
+    config.seed_ = seed;
+    config.leavings_ = true;
+    SessionWorld world(config);
+    world.Run(24s);
+    INFO("seed " << seed);
+    for (const auto& failure : world.Failures()) {
+      FAIL_CHECK(failure);
+    }
+    done += world.Done();
+    leavings += world.Leavings();
+  }
+  CHECK(leavings > 20);
+  CHECK(done > 1000);
+}
+
 TEST_CASE("What a control VM acknowledged of a leaving server is not lost",
           "[drain]")
 {
