Gateway: sending, and servers that leave, in files of their own

Moved without change: GatewaySending.cpp from GatewayDispatch.cpp (699 to 407 lines), GatewayLeaving.cpp from that file, GatewayReports.cpp and GatewayTick.cpp.

--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -512,7 +512,7 @@
                         GatewayActions& aOut);
   TransactionState GetTransactionState(const Session& aSession) const;
 
-  // Queue, choice of servers, sending: GatewayDispatch.cpp
+  // Queue, choice of servers: GatewayDispatch.cpp
   void Enqueue(WorkId aId);
   void Dequeue(WorkId aId);
   void Dispatch(const DatabaseId& aGroup, Time aNow, GatewayActions& aOut);
@@ -527,8 +527,6 @@
                const DatabaseId& aGroup,
                const Work& aWork,
                Time aNow) const;
-  bool MayTakeWork(const Server& aServer, Time aNow) const;
-  bool IsUnservable(const Work& aWork, const Group& aGroup, Time aNow) const;
   ServerId FindPreferredReplica(const Group& aGroup) const;
   Duration EstimateCost(const Server& aServer,
                         bool aPrimary,
@@ -543,6 +541,8 @@
   std::size_t LinkBudget(const Server& aServer) const;
   std::size_t LinkShare(const Server& aServer) const;
   bool MayOpenLink(const Server& aServer) const;
+
+  // Links and sending: GatewaySending.cpp
   void OpenLink(Server& aServer, Time aNow, GatewayActions& aOut);
   void SendWork(WorkId aId,
                 ServerLinkId aLink,
@@ -557,7 +557,6 @@
   void SendNextCommand(ServerLinkId aLink, Time aNow, GatewayActions& aOut);
   bool MaySendNextCommand(ServerLinkId aLink, Time aNow) const;
   void TakeBackWork(ServerLinkId aLink, Time aNow, GatewayActions& aOut);
-  void RestartTransaction(WorkId aId, Time aNow, GatewayActions& aOut);
   void SendCommand(ServerLinkId aLink,
                    ServerCommand aCommand,
                    Time aNow,
@@ -565,6 +564,15 @@
   ServerCommand BuildCommand(const Session& aSession,
                              const SessionStatement& aStatement) const;
 
+  // Servers that leave: GatewayLeaving.cpp
+  void RecordViewProof(const wire::LeaseGrant& aGrant);
+  void ApplyViewProofs();
+  bool IsViewOutdated(Time aNow) const;
+  bool MayTakeWork(const Server& aServer, Time aNow) const;
+  bool IsUnservable(const Work& aWork, const Group& aGroup, Time aNow) const;
+  void TickLeavingServers(Time aNow, GatewayActions& aOut);
+  void RestartTransaction(WorkId aId, Time aNow, GatewayActions& aOut);
+
   // Answers and connections: GatewayServers.cpp
   void FinishWork(WorkId aId,
                   ServerLinkId aLink,
@@ -618,16 +626,12 @@
                           Time aSentAt,
                           LogPoint aPoint);
   void RecordSharedPoints(const wire::LeaseGrant& aGrant);
-  void RecordViewProof(const wire::LeaseGrant& aGrant);
-  void ApplyViewProofs();
-  bool IsViewOutdated(Time aNow) const;
 
   // Timeouts, suspicions, isolation, drain: GatewayTick.cpp
   void TickWork(Time aNow, GatewayActions& aOut);
   void TickSessions(Time aNow, GatewayActions& aOut);
   void TickSuspicions(Time aNow, GatewayActions& aOut);
   void TickDrain(Time aNow, GatewayActions& aOut);
-  void TickLeavingServers(Time aNow, GatewayActions& aOut);
   void TickLinks(Time aNow, GatewayActions& aOut);
   Duration IdleLinkTimeout(const Server& aServer, Time aNow) const;
   void FailWork(WorkId aId,
--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -1,17 +1,13 @@
-// Chooses for each waiting statement a server and a connection to it, and sends
-// the statement.
+// Chooses for each waiting statement a server and a connection to it.
 //
 // Sections:
 //   1. The queue of waiting statements
 //   2. Choice of the server
-//   3. Connections and sending
 
 #include "gateway/Gateway.h"
 
 #include <algorithm>
-#include <utility>
 
-#include <fmt/format.h>
 #include <xxhash.h>
 
 namespace jaydoor {
@@ -30,8 +26,6 @@
 // Links beyond this VM's share while all others belong to transactions: a
 // caller that rests inside one must not hold up the rest.
 constexpr std::size_t kLinksBesideTransactions = 2;
-// A link that holds more prepared statements is reset before its next use.
-constexpr std::size_t kMaxPreparedPerLink = 128;
 
 // Costs that are added to a server's expected response time.
 //
@@ -65,16 +59,6 @@
 constexpr char kNoServerText[] =
   "the servers of the database are leaving or gone: try again after 2000 ms";
 
-// Returns the name that a prepared statement has on servers. It depends only on
-// the statement's text and on whether it writes, so that sessions with the same
-// prepared statement share it.
-std::string
-MakePreparedName(bool aWrites, std::string_view aText)
-{
-  return fmt::format(
-    "{}{:016x}", aWrites ? 'w' : 'r', XXH3_64bits(aText.data(), aText.size()));
-}
-
 } // namespace
 
 // ---- 1. The queue of waiting statements
@@ -293,37 +277,6 @@
           aServer.openingCount_ < kMaxOpeningLinks && MayOpenLink(aServer));
 }
 
-// Returns true if the server may be sent new statements. One that is leaving
-// may for a limited time, which counts from when it was last known to stay:
-// news of it may be late, and a VM that was started since does not know when it
-// began.
-bool
-Gateway::MayTakeWork(const Server& aServer, Time aNow) const
-{
-  if (aServer.isGone_ || IsViewOutdated(aNow)) {
-    return false;
-  }
-  return !aServer.info_.leaving() ||
-         aNow < aServer.stayingAt_ + config_.leavingServerLimit_;
-}
-
-// Returns true if no server of the group may take work, or if the statement
-// needs the primary, that one may not, and no other is being promoted: a change
-// of primary takes longer than statements can wait.
-bool
-Gateway::IsUnservable(const Work& aWork, const Group& aGroup, Time aNow) const
-{
-  const bool noServer = std::none_of(
-    aGroup.servers_.begin(), aGroup.servers_.end(), [&](const ServerId& aId) {
-      return MayTakeWork(servers_.at(aId), aNow);
-    });
-  const Server* primary = FindServer(aGroup.primary_);
-  const bool isPrimaryRetired = primary != nullptr && primary->isRetired_ &&
-                                !primary->isGone_ && !aGroup.changing_;
-  return noServer || (isPrimaryRetired && (aWork.needsPrimary_ ||
-                                           !FindRequiredPoint(aWork, aGroup)));
-}
-
 // Returns the replica of the group that this VM prefers among those in other
 // zones: VMs are spread over the replicas by rendezvous hashing. Empty if there
 // is none.
@@ -451,246 +404,4 @@
   return best;
 }
 
-// ---- 3. Connections and sending
-
-void
-Gateway::OpenLink(Server& aServer, Time aNow, GatewayActions& aOut)
-{
-  const ServerLinkId id = nextLink_++;
-  Link& link = links_[id];
-  link.server_ = aServer.info_.server();
-  link.openedAt_ = aNow;
-  link.sentAt_ = aNow;
-  link.heardAt_ = aNow;
-  aServer.links_.insert(id);
-  aServer.openingCount_++;
-  counters_.linksOpened_++;
-  aOut.push_back(
-    OpenServerLink{ id,
-                    aServer.info_.host(),
-                    static_cast<std::uint16_t>(aServer.info_.port()),
-                    aServer.info_.database(),
-                    aServer.info_.server() });
-}
-
-void
-Gateway::SendCommand(ServerLinkId aLink,
-                     ServerCommand aCommand,
-                     Time aNow,
-                     GatewayActions& aOut)
-{
-  Link& link = links_.at(aLink);
-  if (link.unanswered_.empty()) {
-    link.sentAt_ = aNow;
-    const Group& group = groups_.at(servers_.at(link.server_).info_.database());
-    const bool leased =
-      group.primary_ == link.server_ && HoldsLease(group, group.term_, aNow);
-    link.sentLeaseTerm_ = leased ? group.term_ : 0;
-  }
-  link.unanswered_.push_back(aCommand.kind_);
-  aOut.push_back(SendServerCommand{ aLink, std::move(aCommand) });
-}
-
-// Sends the commands that give the link the session's values and, for an
-// Execute, the prepared statement. Returns true if none was needed.
-bool
-Gateway::SetUpLink(const Session& aSession,
-                   const SessionStatement& aStatement,
-                   ServerLinkId aLink,
-                   Time aNow,
-                   GatewayActions& aOut)
-{
-  Link& link = links_.at(aLink);
-  const std::size_t sentBefore = link.unanswered_.size();
-  const bool hasExtraValues =
-    std::any_of(link.values_.begin(), link.values_.end(), [&](auto& aValue) {
-      return !aSession.values_.contains(aValue.first);
-    });
-  const bool inTransaction = aSession.txLink_ == aLink;
-  if (!inTransaction &&
-      (hasExtraValues || link.prepared_.size() > kMaxPreparedPerLink)) {
-    SendCommand(aLink, ServerCommand(CommandKind::Reset), aNow, aOut);
-    link.values_.clear();
-    link.prepared_.clear();
-  }
-  for (const auto& [name, value] : aSession.values_) {
-    const auto current = link.values_.find(name);
-    if (current == link.values_.end() || current->second != value) {
-      ServerCommand set(CommandKind::Set);
-      set.name_ = name;
-      set.argument_ = value;
-      SendCommand(aLink, std::move(set), aNow, aOut);
-      link.values_[name] = value;
-    }
-  }
-  if (aStatement.kind_ == StatementKind::Execute) {
-    const auto& prepared = aSession.prepared_.at(aStatement.name_);
-    const std::string name = MakePreparedName(prepared.writes_, prepared.text_);
-    if (link.prepared_.insert(name).second) {
-      ServerCommand prepare(CommandKind::Prepare);
-      prepare.name_ = name;
-      prepare.argument_ = prepared.text_;
-      prepare.writes_ = prepared.writes_;
-      SendCommand(aLink, std::move(prepare), aNow, aOut);
-    }
-  }
-  return link.unanswered_.size() == sentBefore;
-}
-
-// Returns the command that runs the statement on a server.
-ServerCommand
-Gateway::BuildCommand(const Session& aSession,
-                      const SessionStatement& aStatement) const
-{
-  ServerCommand command;
-  command.id_ = aStatement.id_;
-  if (aStatement.kind_ != StatementKind::Execute) {
-    command.text_ = aStatement.text_;
-    return command;
-  }
-  const auto& prepared = aSession.prepared_.at(aStatement.name_);
-  command.kind_ = CommandKind::Execute;
-  command.name_ = MakePreparedName(prepared.writes_, prepared.text_);
-  command.argument_ = aStatement.argument_;
-  return command;
-}
-
-// Sends the statement over the link, after the commands that set up the link
-// and begin the transaction where these are needed.
-void
-Gateway::SendWork(WorkId aId,
-                  ServerLinkId aLink,
-                  const ServerChoice& aChoice,
-                  Time aNow,
-                  GatewayActions& aOut)
-{
-  Work& work = work_.at(aId);
-  Session& session = sessions_.at(work.session_);
-  Link& link = links_.at(aLink);
-  Server& server = servers_.at(link.server_);
-  if (!link.holdsSlot_) {
-    link.holdsSlot_ = true;
-    server.runningCount_++;
-  }
-  if (!work.wasSent_) {
-    work.wasSent_ = true;
-    work.firstSentAt_ = aNow;
-  }
-  work.attempts_++;
-  work.links_.insert(aLink);
-  const Group& group = groups_.at(work.route_.group_);
-  if (work.beginsTx_) {
-    link.state_ = LinkState::Pinned;
-    session.txLeaseTerm_ = work.needsPrimary_ ? group.term_ : 0;
-  } else if (session.txLink_ != aLink) {
-    link.state_ = LinkState::Running;
-  }
-  work.leaseTerm_ = session.txLink_ == aLink ? session.txLeaseTerm_
-                    : work.needsPrimary_     ? group.term_
-                                             : 0;
-  link.session_ = work.session_;
-  link.work_ = aId;
-  link.minPointAt_ = aChoice.minPointAt_;
-  if (session.txLink_ != aLink) {
-    (link.server_ == group.primary_ ? counters_.primaryReads_
-                                    : counters_.replicaReads_)++;
-  }
-  SetUpLink(session, work.statement_, aLink, aNow, aOut);
-  link.nextCommand_ = BuildCommand(session, work.statement_);
-  link.hasNextCommand_ = true;
-  if (work.beginsTx_) {
-    ServerCommand begin(session.txReadOnly_ ? CommandKind::BeginReadOnly
-                                            : CommandKind::Begin);
-    begin.minPoint_ = aChoice.minPoint_;
-    SendCommand(aLink, std::move(begin), aNow, aOut);
-  } else if (session.txLink_ != aLink) {
-    link.nextCommand_.minPoint_ = aChoice.minPoint_;
-  }
-  aOut.push_back(WriteLogEvent{
-    Event::StatementRouted,
-    fmt::format("id={} session={} server={} link={} since={}.{} attempt={} "
-                "queued_ms={}",
-                work.statement_.id_,
-                work.session_,
-                link.server_,
-                aLink,
-                aChoice.minPoint_.term_,
-                aChoice.minPoint_.position_,
-                work.attempts_,
-                CountMs(aNow - work.arrivedAt_)) });
-  SendNextCommand(aLink, aNow, aOut);
-}
-
-// Sends the link's next command if all earlier ones are answered.
-void
-Gateway::SendNextCommand(ServerLinkId aLink, Time aNow, GatewayActions& aOut)
-{
-  Link& link = links_.at(aLink);
-  if (!link.hasNextCommand_ || !link.unanswered_.empty()) {
-    return;
-  }
-  link.hasNextCommand_ = false;
-  if (MaySendNextCommand(aLink, aNow)) {
-    SendCommand(aLink, std::move(link.nextCommand_), aNow, aOut);
-  } else {
-    TakeBackWork(aLink, aNow, aOut);
-  }
-}
-
-// Returns false if, while the link was set up, the statement was given up, its
-// server ceased to take new work, or the lease that the statement needs ran out
-// or was revoked. Statements of a transaction that has begun are sent all the
-// same.
-bool
-Gateway::MaySendNextCommand(ServerLinkId aLink, Time aNow) const
-{
-  const Link& link = links_.at(aLink);
-  const auto work = work_.find(link.work_);
-  if (work == work_.end()) {
-    return false;
-  }
-  const auto session = sessions_.find(link.session_);
-  if (session != sessions_.end() && session->second.txLink_ == aLink) {
-    return true;
-  }
-  const Group& group = groups_.at(work->second.route_.group_);
-  const std::uint64_t leaseTerm = work->second.leaseTerm_;
-  const bool leased = leaseTerm == 0 || (!group.leaseDrainUntil_ &&
-                                         HoldsLease(group, leaseTerm, aNow));
-  return leased && MayTakeWork(servers_.at(link.server_), aNow);
-}
-
-// Releases a link whose statement has not been sent, and queues the statement
-// again.
-void
-Gateway::TakeBackWork(ServerLinkId aLink, Time aNow, GatewayActions& aOut)
-{
-  Link& link = links_.at(aLink);
-  const WorkId id = std::exchange(link.work_, 0);
-  FreeSlot(link);
-  ReleaseLink(aLink, aNow, aOut);
-  const auto work = work_.find(id);
-  if (work != work_.end()) {
-    work->second.links_.erase(aLink);
-    RetryOrFailWork(
-      id, SessionError::Overloaded, "the server or its lease ended", aNow, aOut);
-  }
-}
-
-// Queues the first statement of a transaction again, to begin the transaction
-// anew. The server on which it is open has refused the statement.
-void
-Gateway::RestartTransaction(WorkId aId, Time aNow, GatewayActions& aOut)
-{
-  Work& work = work_.at(aId);
-  Session& session = sessions_.at(work.session_);
-  const ServerLinkId link = std::exchange(session.txLink_, 0);
-  session.txLeaseTerm_ = 0;
-  session.txState_ = TxState::Begun;
-  work.beginsTx_ = true;
-  ReleaseLink(link, aNow, aOut);
-  RetryOrFailWork(
-    aId, SessionError::Overloaded, "the server is leaving", aNow, aOut);
-}
-
 } // namespace jaydoor
--- a/gateway/GatewayReports.cpp
+++ b/gateway/GatewayReports.cpp
@@ -19,8 +19,6 @@
 constexpr std::size_t kMaxLeaderTimes = 8;
 // Clocks of two VMs differ by no more than this over the age of a position.
 constexpr Duration kPointAgeMargin = 10ms;
-// Proofs that wait for a view. One is added each time the control log grows.
-constexpr std::size_t kMaxViewProofs = 64;
 // A response time counts for no more in reports to the leader, and a refusal
 // for lack of capacity for as much; 1000: too slow.
 constexpr double kMaxDelayPermille = 2000;
@@ -153,54 +151,6 @@
   group.pointToReport_ = std::move(point);
 }
 
-// ---- How recent the fleet view is
-
-// The leader had applied the grant's index after the request was sent.
-void
-Gateway::RecordViewProof(const wire::LeaseGrant& aGrant)
-{
-  const Time requestedAt{ Duration(aGrant.sent_us()) };
-  if (!viewProofs_.empty() && aGrant.applied() <= viewProofs_.back().index_) {
-    if (aGrant.applied() == viewProofs_.back().index_) {
-      viewProofs_.back().lastAt_ =
-        std::max(viewProofs_.back().lastAt_, requestedAt);
-    }
-  } else if (viewProofs_.size() < kMaxViewProofs) {
-    viewProofs_.push_back({ aGrant.applied(), requestedAt, requestedAt });
-  }
-  ApplyViewProofs();
-}
-
-// Servers that are not leaving by the view were not when the newest of the
-// requests was sent that the view answers.
-void
-Gateway::ApplyViewProofs()
-{
-  std::optional<Time> provenAt;
-  while (view_ && !viewProofs_.empty() &&
-         viewProofs_.front().index_ <= view_->index_) {
-    provenAt = viewProofs_.front().lastAt_;
-    viewProofs_.pop_front();
-  }
-  if (!provenAt) {
-    return;
-  }
-  for (auto& [id, server] : servers_) {
-    if (!server.isGone_ && !server.info_.leaving()) {
-      server.stayingAt_ = std::max(server.stayingAt_, *provenAt);
-    }
-  }
-}
-
-// Returns true if the leader has named an index of the control log for too long
-// that the view has not reached: servers may have left meanwhile.
-bool
-Gateway::IsViewOutdated(Time aNow) const
-{
-  return !viewProofs_.empty() &&
-         aNow - viewProofs_.front().firstAt_ >= config_.leavingServerLimit_;
-}
-
 // Takes over positions of primaries that other VMs have reported.
 void
 Gateway::RecordSharedPoints(const wire::LeaseGrant& aGrant)
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -465,32 +465,6 @@
 
 // ---- Connections
 
-// Closes the idle links to servers that are leaving and take no new work any
-// more.
-void
-Gateway::TickLeavingServers(Time aNow, GatewayActions& aOut)
-{
-  for (auto& [id, server] : servers_) {
-    const bool isRetired = server.info_.leaving() && !MayTakeWork(server, aNow);
-    if (isRetired && !server.isRetired_) {
-      const auto group = groups_.find(server.info_.database());
-      const bool isPrimary =
-        group != groups_.end() && group->second.primary_ == id;
-      aOut.push_back(WriteLogEvent{
-        Event::ServerRetired,
-        fmt::format(
-          "server={} database={} primary={} staying_ms={} links={}",
-          id,
-          server.info_.database(),
-          isPrimary,
-          server.stayingAt_ == Time{} ? -1 : CountMs(aNow - server.stayingAt_),
-          server.links_.size()) });
-      CloseIdleLinks(id, Time::max(), aOut);
-    }
-    server.isRetired_ = isRetired;
-  }
-}
-
 // Returns true if a caller still waits for the statement that runs on the link.
 bool
 Gateway::IsWanted(const Link& aLink, ServerLinkId aId) const
