Tests: the deployment of real processes in files of its own; fake servers that leave

Moved from line_test, so that other tests can use it. Callers wait for answers with a limit (the former one did not bind Asio's blocking reads). The fake servers can be restarted, say that they leave, and report new work that reached them after the drain bound; an old primary follows the new one a second after a promotion.

--- /dev/null
+++ b/tests/LineDeployment.h
@@ -0,0 +1,132 @@
+#pragma once
+
+// A deployment on the platform for tests: processes of `jaydoord platform`,
+// each at its own loopback address, and a group of three database servers.
+//
+//   LineDeployment deployment({ .folder_ = folder, .build_ = build });
+//   deployment.ReplaceConfig(1, LineDeployment::MakeConfig(1));
+//   deployment.WriteItem(1, "item", "value");
+//
+// VMs are named "control-1" to "control-3", one a zone, and "entry-1" and so
+// on, in the zones in turn.
+
+#include "standin/Process.h"
+#include "tests/LineGroup.h"
+
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+
+namespace jaydoor::tests {
+
+inline constexpr std::uint16_t kCallerPort = 8784;
+inline constexpr std::uint16_t kReadinessPort = 8785;
+inline constexpr std::uint16_t kControlPort = 8782;
+inline constexpr int kFirstInternalPort = 7440;
+
+// A connection for the session of one caller, or for raw bytes to any port.
+class LineCaller
+{
+public:
+  LineCaller(const std::string& aHost, std::uint16_t aPort);
+  ~LineCaller();
+  LineCaller(const LineCaller&) = delete;
+  LineCaller& operator=(const LineCaller&) = delete;
+
+  void Write(std::string_view aBytes);
+  // Returns the next line without its line ending, "closed" if the connection
+  // has ended, or "silent" if none arrived in time.
+  std::string ReadLine();
+  // Sends a statement and returns the lines of its answer up to READY.
+  std::vector<std::string> Query(const std::string& aText);
+  bool Open(const std::string& aDatabase);
+
+private:
+  int socket_ = -1;
+  bool connected_ = false;
+  std::string bytes_;
+};
+
+// True if the lines are the answer to a statement that succeeded.
+bool
+IsDone(const std::vector<std::string>& aLines);
+
+struct LineDeploymentConfig
+{
+  std::string folder_; // for settings, logs and disks; deleted at the end
+  std::string build_;  // build folder with daemon/jaydoord
+  int entryVms_ = 2;
+  int network_ = 16; // second number of the loopback addresses
+  Duration statementDuration_ = 1ms;
+};
+
+class LineDeployment
+{
+public:
+  explicit LineDeployment(LineDeploymentConfig aConfig);
+  ~LineDeployment();
+  LineDeployment(const LineDeployment&) = delete;
+  LineDeployment& operator=(const LineDeployment&) = delete;
+
+  // False if the addresses of the servers could not be bound.
+  bool IsStarted() const { return started_; }
+
+  void Start(const std::string& aName, bool aFirstStart);
+  // Starts a stopped VM again, with a pipe as its log that nobody reads.
+  void StartWithUnreadLog(const std::string& aName);
+  void WriteNodeFile(const std::string& aName, const std::string& aText) const;
+  std::size_t CountInLog(const std::string& aName,
+                         const std::string& aText) const;
+  // Deletes the disk of a control VM, which must not be running.
+  void DeleteDisk(const std::string& aName) const;
+  standin::Process& GetProcess(const std::string& aName);
+
+  std::string ControlHost(int aNumber) const;
+  std::string EntryHost(int aNumber) const;
+  // A session of a caller at an entry VM, not opened yet.
+  std::unique_ptr<LineCaller> Connect(int aEntry) const;
+
+  // Makes a configuration body with one database for each kind of route.
+  static std::string MakeConfig(int aVersion);
+  // These return the HTTP status; 0: no answer.
+  unsigned ReplaceConfig(int aControl, const std::string& aBody) const;
+  unsigned SendHeartbeat(int aControl,
+                         const std::string& aServer,
+                         const std::string& aBody) const;
+  HttpCallResult FetchConfig(int aControl) const;
+  std::string FetchMetrics(int aEntry) const;
+  bool IsReady(int aEntry) const;
+
+  // Runs the function on the group's thread and returns its result.
+  template<typename Function>
+  auto RunOnGroupThread(const Function& aFunction)
+  {
+    std::promise<decltype(aFunction(*group_))> done;
+    boost::asio::post(context_, [&] { done.set_value(aFunction(*group_)); });
+    return done.get_future().get();
+  }
+
+  // Writes one value in a session of its own; returns true if the write was
+  // acknowledged.
+  bool WriteItem(int aEntry,
+                 const std::string& aItem,
+                 const std::string& aData);
+
+private:
+  std::string MakeAddress(int aZone, int aHostNumber) const;
+
+  LineDeploymentConfig config_;
+  int unreadLog_ = -1; // read end of the pipe of StartWithUnreadLog
+  boost::asio::io_context context_{ 1 };
+  std::unique_ptr<LineGroup> group_;
+  std::thread thread_;
+  std::map<std::string, std::unique_ptr<standin::Process>> processes_;
+  bool started_ = false;
+};
+
+} // namespace jaydoor::tests
--- a/tests/LineGroup.cpp
+++ b/tests/LineGroup.cpp
@@ -67,25 +67,11 @@
 Expected<bool>
 LineGroup::Start()
 {
+  acceptors_.resize(servers_.size());
   for (std::size_t i = 0; i < servers_.size(); i++) {
-    const auto& address = config_.serverAddresses_[i];
-    boost::system::error_code error;
-    auto acceptor = std::make_shared<Tcp::acceptor>(context_);
-    const Tcp::endpoint endpoint(asio::ip::make_address(address.host_),
-                                 address.port_);
-    acceptor->open(endpoint.protocol());
-    acceptor->set_option(Tcp::acceptor::reuse_address(true));
-    acceptor->bind(endpoint, error);
-    if (error) {
-      return MakeError(ErrorKind::Network,
-                       fmt::format("can't bind {}:{}: {}",
-                                   address.host_,
-                                   address.port_,
-                                   error.message()));
+    if (const auto listening = Listen(i); !listening) {
+      return listening;
     }
-    acceptor->listen();
-    acceptors_.push_back(std::move(acceptor));
-    asio::co_spawn(context_, AcceptConnections(i), asio::detached);
     asio::co_spawn(context_, SendHeartbeats(i), asio::detached);
   }
   return promotionServer_
@@ -93,13 +79,67 @@
     .map([](auto) { return true; });
 }
 
+Expected<bool>
+LineGroup::Listen(std::size_t aServer)
+{
+  const auto& address = config_.serverAddresses_[aServer];
+  boost::system::error_code error;
+  auto acceptor = std::make_shared<Tcp::acceptor>(context_);
+  const Tcp::endpoint endpoint(asio::ip::make_address(address.host_),
+                               address.port_);
+  acceptor->open(endpoint.protocol());
+  acceptor->set_option(Tcp::acceptor::reuse_address(true));
+  acceptor->bind(endpoint, error);
+  if (error) {
+    return MakeError(
+      ErrorKind::Network,
+      fmt::format(
+        "can't bind {}:{}: {}", address.host_, address.port_, error.message()));
+  }
+  acceptor->listen();
+  acceptors_[aServer] = std::move(acceptor);
+  asio::co_spawn(context_, AcceptConnections(aServer), asio::detached);
+  return true;
+}
+
+void
+LineGroup::Restart(std::size_t aServer)
+{
+  Server& server = servers_[aServer];
+  const Server& primary = servers_[Primary()];
+  server.run_++;
+  server.sequence_ = 0;
+  server.leaving_ = false;
+  server.leavingAckedAt_.reset();
+  if (&primary != &server) {
+    server.primary_ = false;
+    server.log_ = primary.log_;
+    server.term_ = primary.term_;
+  }
+  server.up_ = Listen(aServer).has_value();
+  asio::co_spawn(context_, SendHeartbeats(aServer), asio::detached);
+}
+
+void
+LineGroup::Leave(std::size_t aServer)
+{
+  servers_[aServer].leaving_ = true;
+}
+
+std::optional<Duration>
+LineGroup::LeavingFor(std::size_t aServer) const
+{
+  const auto& ackedAt = servers_[aServer].leavingAckedAt_;
+  return ackedAt ? std::optional(ReadClock() - *ackedAt) : std::nullopt;
+}
+
 void
 LineGroup::Crash(std::size_t aServer)
 {
   Server& server = servers_[aServer];
   server.up_ = false;
   boost::system::error_code ignored;
-  if (aServer < acceptors_.size()) {
+  if (aServer < acceptors_.size() && acceptors_[aServer]) {
     acceptors_[aServer]->close(ignored);
   }
   for (const auto& socket : server.sockets_) {
@@ -253,14 +293,22 @@
   if (rest.starts_with("SINCE ")) {
     PopWord(rest);
     const auto minPoint = ReadPoint(std::string(PopWord(rest)));
-    const Server& server = servers_[aConnection.server_];
-    if (ReadPoint(FormatVisiblePoint(server, ReadClock())) < minPoint) {
+    if (ReadPoint(FormatVisiblePoint(servers_[aConnection.server_],
+                                     ReadClock())) < minPoint) {
       answer.error_ = "LAGGING";
     }
   }
   const bool accessesData = rest.starts_with("READ") ||
                             rest.starts_with("WRITE") ||
                             rest.starts_with("EXECUTE") || rest == "COMMIT";
+  const Server& server = servers_[aConnection.server_];
+  const bool isNewWork =
+    accessesData && !(aConnection.inTransaction_ && aConnection.hasWorked_);
+  aConnection.hasWorked_ |= accessesData;
+  if (isNewWork && server.leavingAckedAt_ &&
+      ReadClock() - *server.leavingAckedAt_ >= config_.drainBound_) {
+    lateWork_.emplace_back(ReadClock() - *server.leavingAckedAt_, aFields);
+  }
   if (accessesData) {
     co_await Sleep(config_.statementDuration_);
   }
@@ -308,6 +356,7 @@
       return { {}, "READONLY", {} };
     }
     aConnection.inTransaction_ = true;
+    aConnection.hasWorked_ = false;
     aConnection.readOnly_ = readOnly;
     aConnection.termAtBegin_ = server.term_;
     return {};
@@ -474,10 +523,10 @@
     { "zone", config_.zones_[aServer] },
     { "version", "v1" },
     { "slots", 5 },
-    { "state", "ready" },
+    { "state", server.leaving_ ? "draining" : "ready" },
     { "coldRemainingMs", 0 },
     { "dbRole", server.primary_ ? "primary" : "replica" },
-    { "born", 1000 + aServer },
+    { "born", 1000 * server.run_ + aServer },
     { "seqNo", server.sequence_ } });
 }
 
@@ -488,7 +537,8 @@
 {
   Server& server = servers_[aServer];
   std::size_t next = aServer;
-  while (server.up_) {
+  const std::uint64_t run = server.run_;
+  while (server.up_ && server.run_ == run) {
     if (!config_.controlAddresses_.empty()) {
       server.sequence_++;
       const auto& target =
@@ -498,9 +548,14 @@
       // expression twice.
       std::string path = "/Instances.Heartbeat/" + server.id_;
       std::string body = MakeHeartbeat(aServer);
+      const bool leaving = server.leaving_;
       const HttpCallResult answer = co_await caller.Call(
         std::move(path), std::move(body), kHeartbeatTimeout);
       next += answer.status_ == 200 ? 0U : 1U;
+      if (leaving && answer.status_ == 200 && server.run_ == run &&
+          !server.leavingAckedAt_) {
+        server.leavingAckedAt_ = ReadClock();
+      }
     }
     co_await Sleep(config_.heartbeatInterval_);
   }
@@ -544,6 +599,15 @@
       server.term_ = term + 1;
     }
   }
+  co_await Sleep(config_.replacedDelay_);
+  const std::size_t leader = Primary();
+  for (std::size_t i = 0; i < servers_.size(); i++) {
+    if (i != leader && servers_[i].up_ && servers_[leader].up_) {
+      servers_[i].primary_ = false;
+      servers_[i].log_ = servers_[leader].log_;
+      servers_[i].term_ = servers_[leader].term_;
+    }
+  }
 }
 
 } // namespace jaydoor::tests
--- a/tests/LineGroup.h
+++ b/tests/LineGroup.h
@@ -41,6 +41,10 @@
   Duration statementDuration_ = 1ms; // of a read, write or commit
   Duration replicationLag_ = 5ms;    // before a replica shows a commit
   Duration promotionDelay_ = 100ms;  // until a promotion takes effect
+  // An old primary follows the new one from this time after a promotion on.
+  Duration replacedDelay_ = 1s;
+  // A leaving server may be sent new work for this long.
+  Duration drainBound_ = 7s;
   Duration heartbeatInterval_ = 200ms;
 };
 
@@ -56,8 +60,24 @@
 
   // The functions below must be called on the group's thread.
 
-  // Stops the server for good and closes its connections.
+  // Stops the server and closes its connections.
   void Crash(std::size_t aServer);
+  // Starts a stopped server anew, with its log; it follows the primary if there
+  // is one.
+  void Restart(std::size_t aServer);
+  // The server says that it leaves, until it is started anew.
+  void Leave(std::size_t aServer);
+  bool IsUp(std::size_t aServer) const { return servers_[aServer].up_; }
+  // Time since a control VM acknowledged that the server leaves; none if it
+  // does not leave, or was not acknowledged yet.
+  std::optional<Duration> LeavingFor(std::size_t aServer) const;
+  // New work that reached a leaving server, and how long after it had been
+  // acknowledged that it leaves: single statements and the first of
+  // transactions.
+  const std::vector<std::pair<Duration, std::string>>& LateWork() const
+  {
+    return lateWork_;
+  }
   // Returns the index of the primary with the highest term.
   std::size_t Primary() const;
   // Returns the values committed for the item, oldest first, from the primary's
@@ -80,6 +100,9 @@
     bool primary_ = false;
     std::uint64_t term_ = 1;
     std::uint64_t sequence_ = 0;
+    std::uint64_t run_ = 1; // raised at each start
+    bool leaving_ = false;
+    std::optional<Time> leavingAckedAt_;
     std::vector<LogEntry> log_;
     std::set<std::shared_ptr<boost::asio::ip::tcp::socket>> sockets_;
   };
@@ -88,6 +111,7 @@
   {
     std::size_t server_ = 0;
     bool inTransaction_ = false;
+    bool hasWorked_ = false; // in this transaction
     bool transactionFailed_ = false;
     bool readOnly_ = false;         // true: the transaction may not write
     std::uint64_t termAtBegin_ = 0; // term of the server at BEGIN
@@ -105,6 +129,7 @@
 
   using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
+  Expected<bool> Listen(std::size_t aServer);
   boost::asio::awaitable<void> AcceptConnections(std::size_t aServer);
   boost::asio::awaitable<void> ServeConnection(std::size_t aServer,
                                                Socket aSocket);
@@ -134,6 +159,7 @@
   std::vector<Server> servers_;
   std::vector<std::shared_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
   std::size_t statementsRun_ = 0; // counts statements, for signatures
+  std::vector<std::pair<Duration, std::string>> lateWork_;
 };
 
 } // namespace jaydoor::tests
