--- a/tests/LineDeployment.cpp
+++ b/tests/LineDeployment.cpp
@@ -163,7 +163,9 @@
   if (unreadLog_ >= 0) {
     close(unreadLog_);
   }
-  fs::remove_all(config_.folder_);
+  if (!config_.keepsFolder_) {
+    fs::remove_all(config_.folder_);
+  }
 }
 
 void
--- a/tests/LineDeployment.h
+++ b/tests/LineDeployment.h
@@ -63,6 +63,7 @@
   int entryVms_ = 2;
   int network_ = 16; // second number of the loopback addresses
   Duration statementDuration_ = 1ms;
+  bool keepsFolder_ = false; // the folder is not deleted
 };
 
 class LineDeployment
--- a/tests/LineGroup.cpp
+++ b/tests/LineGroup.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
+#include <fcntl.h>
 #include <fmt/format.h>
 
 namespace jaydoor::tests {
@@ -40,6 +41,14 @@
   return { std::stoull(aText), std::stoull(aText.substr(dot + 1)) };
 }
 
+// Without it the processes that the test starts would keep the sockets open.
+template<typename Socket>
+void
+CloseOnExec(Socket& aSocket)
+{
+  fcntl(aSocket.native_handle(), F_SETFD, FD_CLOEXEC);
+}
+
 } // namespace
 
 LineGroup::LineGroup(asio::io_context& aContext, LineGroupConfig aConfig)
@@ -88,6 +97,7 @@
   const Tcp::endpoint endpoint(asio::ip::make_address(address.host_),
                                address.port_);
   acceptor->open(endpoint.protocol());
+  CloseOnExec(*acceptor);
   acceptor->set_option(Tcp::acceptor::reuse_address(true));
   acceptor->bind(endpoint, error);
   if (error) {
@@ -195,6 +205,7 @@
     }
     const auto socket = std::make_shared<Tcp::socket>(std::move(accepted));
     socket->set_option(Tcp::no_delay(true));
+    CloseOnExec(*socket);
     asio::co_spawn(context_, ServeConnection(aServer, socket), asio::detached);
   }
 }
