--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -194,6 +194,7 @@
         CHECK(deployment.SendHeartbeat(zone, id, body) == 400);
       }
     }
+    CHECK(deployment.CountInLog("control-1", "server=odd?? ") == 1);
     const auto isServing = [&](int aVersion) {
       REQUIRE(Await([&] {
         return deployment.ReplaceConfig(
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -259,6 +259,13 @@
     CHECK(upstream->sequence() == 4);
   }
 
+  SECTION("the counts of a server may start at zero")
+  {
+    std::string body = good;
+    body.replace(body.find("\"seqNo\":4"), 9, "\"seqNo\":0");
+    CHECK(ReadHeartbeatBody("i-1", body).has_value());
+  }
+
   SECTION("an invalid heartbeat is refused")
   {
     const auto with = [&](std::string_view aOld, std::string_view aNew) {
