Soak: names of the platform's protocol stay in tests/

The heartbeat that the soak sends and the codes that promise that nothing is kept are in tests/LineDeployment now, which line_test uses as well.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -314,11 +314,8 @@
 Faults::SendOddHeartbeat()
 {
   const int control = static_cast<int>(random_() % kControls) + 1;
-  const std::string body = fmt::format(
-    R"({{"service":"db","address":"127.0.0.9:{}","zone":"zone-1",)"
-    R"("version":"v1","slots":5,"state":"ready","coldRemainingMs":0,)"
-    R"("dbRole":"replica","seqNo":{},"born":1700000000000}})",
-    random_() % 2 == 0 ? "70000" : "9001",
+  const std::string body = tests::LineDeployment::MakeHeartbeat(
+    random_() % 2 == 0 ? "127.0.0.9:70000" : "127.0.0.9:9001",
     random_() % 2 == 0 ? "18446744073709551615" : "1e400");
   const unsigned status = deployment_.SendHeartbeat(
     control, random_() % 2 == 0 ? "odd" : "odd\xff", body);
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -33,19 +33,6 @@
 constexpr Duration kStep = 20ms;
 constexpr Duration kProbeInterval = 1s;
 
-// Codes that promise that nothing of the statement is kept.
-bool
-IsRefusal(const std::string& aLine)
-{
-  for (const char* code :
-       { "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGSRV", "CONNLIMIT" }) {
-    if (aLine.starts_with(std::string("ERROR ") + code)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 // One caller, in sessions one after the other.
 class CallerLoop
 {
@@ -119,8 +106,7 @@
       committing = true;
     }
     const bool done = tests::IsDone(lines);
-    const bool refused =
-      !committing || (lines.size() >= 2 && IsRefusal(lines[lines.size() - 2]));
+    const bool refused = !committing || tests::IsRefusal(lines);
     history_.RecordWrite(number_,
                          value,
                          done      ? WriteFate::Acknowledged
--- a/tests/LineDeployment.cpp
+++ b/tests/LineDeployment.cpp
@@ -125,6 +125,20 @@
          aLines[aLines.size() - 2].starts_with("COMPLETE");
 }
 
+bool
+IsRefusal(const std::vector<std::string>& aLines)
+{
+  if (aLines.size() < 2) {
+    return false;
+  }
+  const std::string& error = aLines[aLines.size() - 2];
+  const auto isError = [&error](std::string_view aCode) {
+    return error.starts_with(fmt::format("ERROR {}", aCode));
+  };
+  return isError("BUSY") || isError("ABORTED") || isError("LAGGING") ||
+         isError("READONLY") || isError("WRONGSRV") || isError("CONNLIMIT");
+}
+
 // ---- The deployment
 
 LineDeployment::LineDeployment(LineDeploymentConfig aConfig)
@@ -307,6 +321,18 @@
     routes);
 }
 
+std::string
+LineDeployment::MakeHeartbeat(const std::string& aAddress,
+                              const std::string& aSequence)
+{
+  return fmt::format(
+    R"({{"service":"db","address":"{}","zone":"zone-1","version":"v1",)"
+    R"("slots":5,"state":"ready","coldRemainingMs":0,)"
+    R"("dbRole":"replica","seqNo":{},"born":1700000000000}})",
+    aAddress,
+    aSequence);
+}
+
 unsigned
 LineDeployment::ReplaceConfig(int aControl, const std::string& aBody) const
 {
--- a/tests/LineDeployment.h
+++ b/tests/LineDeployment.h
@@ -56,6 +56,10 @@
 bool
 IsDone(const std::vector<std::string>& aLines);
 
+// True if the lines end in an error that promises that nothing is kept.
+bool
+IsRefusal(const std::vector<std::string>& aLines);
+
 struct LineDeploymentConfig
 {
   std::string folder_; // for settings, logs and disks; deleted at the end
@@ -94,6 +98,10 @@
 
   // Makes a configuration body with one database for each kind of route.
   static std::string MakeConfig(int aVersion);
+  // Makes the heartbeat of a replica of the group; the number is written as it
+  // is given.
+  static std::string MakeHeartbeat(const std::string& aAddress,
+                                   const std::string& aSequence);
   // These return the HTTP status; 0: no answer.
   unsigned ReplaceConfig(int aControl, const std::string& aBody) const;
   unsigned SendHeartbeat(int aControl,
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -169,22 +169,18 @@
 
   SECTION("odd entries among the announcements of servers change nothing")
   {
-    const auto makeBody = [](const std::string& aAddress,
-                             const std::string& aNumber) {
-      return fmt::format(
-        R"({{"service":"db","address":"{}","zone":"zone-1","version":"v1",)"
-        R"("slots":5,"state":"ready","coldRemainingMs":0,)"
-        R"("dbRole":"replica","seqNo":{},"born":1700000000000}})",
-        aAddress,
-        aNumber);
-    };
-    const std::string good = makeBody("127.0.0.9:5000", "1");
+    const std::string good =
+      LineDeployment::MakeHeartbeat("127.0.0.9:5000", "1");
     const std::vector<std::pair<std::string, std::string>> odd = {
-      { "odd", makeBody("127.0.0.9:70000", "1") },
-      { "odd", makeBody("nowhere:5000", "1") },
-      { "odd", makeBody("127.0.0.9:5000", "18446744073709551615") },
-      { "odd", makeBody("127.0.0.9:5000", "1e400") },
-      { "odd", makeBody("127.0.0.9:5000", std::string(100'000, '[')) },
+      { "odd", LineDeployment::MakeHeartbeat("127.0.0.9:70000", "1") },
+      { "odd", LineDeployment::MakeHeartbeat("nowhere:5000", "1") },
+      { "odd",
+        LineDeployment::MakeHeartbeat("127.0.0.9:5000",
+                                      "18446744073709551615") },
+      { "odd", LineDeployment::MakeHeartbeat("127.0.0.9:5000", "1e400") },
+      { "odd",
+        LineDeployment::MakeHeartbeat("127.0.0.9:5000",
+                                      std::string(100'000, '[')) },
       { "odd\xff\xfe", good },
       { "", good },
     };
