Gateway: what a group can't run is found once for a dispatch, not for each statement

Reading the change again: IsUnservable looked at all servers of the group for each waiting statement, though the answer is the group's; FindOutage does so once. The flag for retired servers was read where it can be derived, and is only the state of the last tick now (wasRetired_). Two lists and loops of refused statements are one. A comment of drain_test said what the function does not do. No behaviour is meant to change but for the tick of 10 ms at which the flag lagged.

--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -405,7 +405,7 @@
     // Last time at which it was proven not to be leaving; Time{}: not since
     // this VM was started.
     Time stayingAt_;
-    bool isRetired_ = false; // is leaving, and gets no new work any more
+    bool wasRetired_ = false; // IsRetired() at the last tick
   };
 
   struct Lease
@@ -446,6 +446,14 @@
     Time reportedAt_;        // last report about suspected_
   };
 
+  // Statements that no server of a group can run.
+  enum class Outage : std::uint8_t
+  {
+    None,
+    Primary, // those that need the primary
+    Full,    // all
+  };
+
   // All changes of the fleet that were committed before a lease request was
   // sent are in a view of this index or a later one.
   struct ViewProof
@@ -569,7 +577,8 @@
   void ApplyViewProofs();
   bool IsViewOutdated(Time aNow) const;
   bool MayTakeWork(const Server& aServer, Time aNow) const;
-  bool IsUnservable(const Work& aWork, const Group& aGroup, Time aNow) const;
+  bool IsRetired(const Server& aServer, Time aNow) const;
+  Outage FindOutage(const Group& aGroup, Time aNow) const;
   void TickLeavingServers(Time aNow, GatewayActions& aOut);
   void RestartTransaction(WorkId aId, Time aNow, GatewayActions& aOut);
 
--- a/gateway/GatewayDispatch.cpp
+++ b/gateway/GatewayDispatch.cpp
@@ -7,6 +7,7 @@
 #include "gateway/Gateway.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -101,20 +102,24 @@
   Group& group = groups_[aGroup];
   std::array<int, 4> missesByKind{};
   std::vector<WorkId> waiting;
-  std::vector<WorkId> shed;
-  std::vector<WorkId> unservable;
+  std::vector<std::pair<WorkId, bool>> refused; // true: it is shed
+  const Outage outage = FindOutage(group, aNow);
   waiting.reserve(group.queue_.size());
   for (const auto& key : group.queue_) {
     waiting.push_back(std::get<WorkId>(key));
   }
   for (const WorkId id : waiting) {
     const Work& work = work_.at(id);
-    if (work.links_.empty() && IsUnservable(work, group, aNow)) {
-      unservable.push_back(id);
+    const bool isUnservable =
+      outage == Outage::Full ||
+      (outage == Outage::Primary &&
+       (work.needsPrimary_ || !FindRequiredPoint(work, group)));
+    if (work.links_.empty() && isUnservable) {
+      refused.emplace_back(id, false);
       continue;
     }
     if (work.links_.empty() && IsShedByAll(work, group, aNow)) {
-      shed.push_back(id);
+      refused.emplace_back(id, true);
       continue;
     }
     const std::size_t kind =
@@ -128,15 +133,14 @@
       missesByKind.at(kind)++;
     }
   }
-  for (const WorkId id : shed) {
+  for (const auto& [id, isShed] : refused) {
     if (work_.contains(id)) {
-      counters_.shed_++;
-      FailWork(id, SessionError::Overloaded, kShedText, aNow, aOut);
-    }
-  }
-  for (const WorkId id : unservable) {
-    if (work_.contains(id)) {
-      FailWork(id, SessionError::Overloaded, kNoServerText, aNow, aOut);
+      counters_.shed_ += isShed ? 1U : 0U;
+      FailWork(id,
+               SessionError::Overloaded,
+               isShed ? kShedText : kNoServerText,
+               aNow,
+               aOut);
     }
   }
 }
--- a/gateway/GatewayLeaving.cpp
+++ b/gateway/GatewayLeaving.cpp
@@ -86,21 +86,29 @@
          aNow < aServer.stayingAt_ + config_.leavingServerLimit_;
 }
 
-// Returns true if no server of the group may take work, or if the statement
-// needs the primary, that one may not, and no other is being promoted: a change
-// of primary takes longer than statements can wait.
 bool
-Gateway::IsUnservable(const Work& aWork, const Group& aGroup, Time aNow) const
+Gateway::IsRetired(const Server& aServer, Time aNow) const
+{
+  return aServer.info_.leaving() && !MayTakeWork(aServer, aNow);
+}
+
+// Returns which statements the group can't run, now or soon. While its primary
+// may not take work and no other is being promoted, those that need a primary:
+// a change of primary takes longer than statements can wait.
+Gateway::Outage
+Gateway::FindOutage(const Group& aGroup, Time aNow) const
 {
   const bool noServer = std::none_of(
     aGroup.servers_.begin(), aGroup.servers_.end(), [&](const ServerId& aId) {
       return MayTakeWork(servers_.at(aId), aNow);
     });
+  if (noServer) {
+    return Outage::Full;
+  }
   const Server* primary = FindServer(aGroup.primary_);
-  const bool isPrimaryRetired = primary != nullptr && primary->isRetired_ &&
-                                !primary->isGone_ && !aGroup.changing_;
-  return noServer || (isPrimaryRetired && (aWork.needsPrimary_ ||
-                                           !FindRequiredPoint(aWork, aGroup)));
+  const bool isPrimaryRetired = primary != nullptr && !primary->isGone_ &&
+                                !aGroup.changing_ && IsRetired(*primary, aNow);
+  return isPrimaryRetired ? Outage::Primary : Outage::None;
 }
 
 // Closes the idle links to servers that are leaving and take no new work any
@@ -109,8 +117,8 @@
 Gateway::TickLeavingServers(Time aNow, GatewayActions& aOut)
 {
   for (auto& [id, server] : servers_) {
-    const bool isRetired = server.info_.leaving() && !MayTakeWork(server, aNow);
-    if (isRetired && !server.isRetired_) {
+    const bool isRetired = IsRetired(server, aNow);
+    if (isRetired && !server.wasRetired_) {
       const auto group = groups_.find(server.info_.database());
       const bool isPrimary =
         group != groups_.end() && group->second.primary_ == id;
@@ -125,7 +133,7 @@
           server.links_.size()) });
       CloseIdleLinks(id, Time::max(), aOut);
     }
-    server.isRetired_ = isRetired;
+    server.wasRetired_ = isRetired;
   }
 }
 
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -80,8 +80,7 @@
 
   // ---- Time and events
 
-  // Advances the time with ticks and with grants of the leader, and lets all
-  // servers that run answer at once.
+  // Advances the time, with ticks and with grants of the leader.
   void Wait(Duration aDuration)
   {
     for (const Time end = now_ + aDuration; now_ < end;) {
