--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,51 +1,97 @@
-// Freezes the leader of the control VMs while its call to a slow platform is
-// still connecting. Another leader takes over and promotes; after the thaw, the
-// first one sends its call with the lower fencing token.
+// Replaces two of the three control VMs, one after the other, as planned work:
+// both successors have run for longer than kCatchUp before the first VM is told
+// to stop. Then reads the configuration back.
 
-#include "review/Fleet.h"
+#include "review/Case.h"
 
 #include <csignal>
 
 namespace jaydoor::review {
 namespace {
 
-// From the primary's word that it leaves to the freeze.
-constexpr Duration kFreezeAfter = 900ms;
-constexpr Duration kFreeze = 1600ms;
-constexpr Duration kObservation = 8s;
+constexpr int kEntryVms = 3;
+// From the start of the successors to the first stop.
+constexpr Duration kSuccessorsRunning = 10s;
+// From the exit of the first VM to the stop of the second.
+constexpr Duration kBetweenStops = 3s;
+constexpr Duration kReadBack = 20s;
+constexpr int kFirstSuccessor = 4; // control-4 replaces control-1
+constexpr int kControlVms = 5;
+
+// Stops a control VM for good. Returns false if it does not exit.
+bool
+Remove(tests::LineDeployment& aDeployment,
+       const std::string& aName,
+       Record& aRecord)
+{
+  aRecord.Write("SIGTERM to {}, which will not come back", aName);
+  aDeployment.GetProcess(aName).Signal(SIGTERM);
+  const int status = aDeployment.GetProcess(aName).WaitForEnd(kGracePeriod);
+  aRecord.Write("{} has exited with status {}", aName, status);
+  return status == 0;
+}
+
+// Reads the configuration from the VM. Returns true if it is the newest.
+bool
+ReadBack(const tests::LineDeployment& aDeployment,
+         int aControl,
+         const std::string& aNewest,
+         Record& aRecord)
+{
+  const auto answer = aDeployment.FetchConfig(aControl);
+  const bool newest = answer.status_ == 200 && answer.body_ == aNewest;
+  aRecord.Write(
+    "read from control-{}: {} newest={}", aControl, answer.status_, newest);
+  return newest;
+}
 
 int
 Run(Record& aRecord)
 {
-  Deployment deployment(aRecord);
-  if (!deployment.IsStarted() || !deployment.Serve()) {
+  tests::LineDeployment deployment(MakeDeploymentConfig(kEntryVms));
+  const auto first = tests::LineDeployment::MakeConfig(1);
+  if (!WaitUntilServing(deployment, kEntryVms, first, aRecord)) {
     return kCouldNotRun;
   }
-  std::this_thread::sleep_for(kCatchUp);
-  const std::string leader = deployment.FindLeader();
-  aRecord.Write("served; {} leads", leader);
-  Platform& platform = deployment.GetPlatform();
-  if (HasTrouble()) {
-    platform.BecomeSlow();
+  for (int number = kFirstSuccessor; number <= kControlVms; number++) {
+    deployment.Start(fmt::format("control-{}", number), false);
+    aRecord.Write("control-{} started as the successor of control-{}",
+                  number,
+                  number - kFirstSuccessor + 1);
+  }
+  static_assert(kSuccessorsRunning > kCatchUp);
+  std::this_thread::sleep_for(kSuccessorsRunning);
+  const auto newest = tests::LineDeployment::MakeConfig(2);
+  const bool stored =
+    WaitUntil(10s, [&] { return deployment.ReplaceConfig(3, newest) == 200; });
+  aRecord.Write("configuration 2 acknowledged: {}", stored);
+  if (!stored) {
+    return kCouldNotRun;
   }
-  deployment.ReleasePrimary();
-  aRecord.Write("the primary says that it is draining");
-  std::this_thread::sleep_for(kFreezeAfter);
   if (HasTrouble()) {
-    deployment.GetProcess(leader).Signal(SIGSTOP);
-    aRecord.Write("{} is frozen", leader);
-    platform.Recover();
-    std::this_thread::sleep_for(kFreeze);
-    deployment.GetProcess(leader).Signal(SIGCONT);
-    aRecord.Write("{} has thawed; {} leads", leader, deployment.FindLeader());
+    if (!Remove(deployment, "control-1", aRecord)) {
+      return kCouldNotRun;
+    }
+    std::this_thread::sleep_for(kBetweenStops);
+    if (!Remove(deployment, "control-2", aRecord)) {
+      return kCouldNotRun;
+    }
   }
-  std::this_thread::sleep_for(kObservation);
-  aRecord.Write("write through entry-1 acknowledged: {}",
-                deployment.Write(1, "x", "y"));
-  if (platform.HighestToken() == 0) {
-    return kCouldNotRun; // no promotion was asked for
+  std::this_thread::sleep_for(kRecovery);
+  bool readBack = false;
+  const auto end = std::chrono::steady_clock::now() + kReadBack;
+  while (std::chrono::steady_clock::now() < end) {
+    for (int control = 3; control <= kControlVms; control++) {
+      readBack |= ReadBack(deployment, control, newest, aRecord);
+    }
+    for (int entry = 1; entry <= kEntryVms; entry++) {
+      aRecord.Write("write through entry-{} acknowledged: {}",
+                    entry,
+                    deployment.WriteItem(entry, "later", "y"));
+    }
+    std::this_thread::sleep_for(1s);
   }
-  return platform.HasSeenLowerToken() ? kRuleBroken : kRuleHeld;
+  return readBack ? kRuleHeld : kRuleBroken;
 }
 
 } // namespace
