--- a/review/Case.h
+++ b/review/Case.h
@@ -42,14 +42,20 @@
   {
   }
 
+  // Seconds since the start.
+  double Elapsed() const
+  {
+    const std::chrono::duration<double> since =
+      std::chrono::steady_clock::now() - startedAt_;
+    return since.count();
+  }
+
   template<typename... Args>
   void Write(fmt::format_string<Args...> aFormat, Args&&... aArgs)
   {
-    const auto now = std::chrono::steady_clock::now();
-    const std::chrono::duration<double> since = now - startedAt_;
     const std::string line =
       fmt::format("{:8.3f} {}",
-                  since.count(),
+                  Elapsed(),
                   fmt::format(aFormat, std::forward<Args>(aArgs)...));
     const std::lock_guard lock(mutex_);
     file_ << line << std::endl;
--- a/review/Fleet.h
+++ b/review/Fleet.h
@@ -202,6 +202,7 @@
     if (status == kOk) {
       const std::lock_guard lock(mutex_);
       promotedBy_ = body;
+      record_.Write("it takes effect in {} ms", CountMs(kPromotionDelay));
     }
     return status;
   }
