--- a/review/Fleet.h
+++ b/review/Fleet.h
@@ -2,10 +2,14 @@
 
 // A deployment whose control VMs call a platform that a case can slow down.
 //
+// The names that the platform uses on the wire are arguments of the cases: no
+// source outside platform/ and tests/ may contain them.
+//
 // Sections:
 //   1. The platform
 //   2. The deployment
 
+#include "platform/NodeFile.h"
 #include "review/Case.h"
 
 #include <array>
@@ -28,6 +32,20 @@
 inline constexpr std::uint16_t kServerPort = 9001;
 inline constexpr std::uint16_t kPlatformPort = 8783;
 
+struct PlatformNames
+{
+  std::string configPath_;   // of the call that replaces the configuration
+  std::string holderHeader_; // names the VM that asks for a promotion
+  std::string tokenHeader_;  // its fencing token
+};
+
+// The first argument of a case is the path of its record.
+inline PlatformNames
+ReadPlatformNames(char** aArguments)
+{
+  return { aArguments[2], aArguments[3], aArguments[4] };
+}
+
 inline sockaddr_in
 MakeSocketAddress(const std::string& aHost, std::uint16_t aPort)
 {
@@ -46,8 +64,12 @@
 class Platform
 {
 public:
-  Platform(const std::string& aHost, std::string aPromoter, Record& aRecord)
-    : host_(aHost)
+  Platform(PlatformNames aNames,
+           const std::string& aHost,
+           std::string aPromoter,
+           Record& aRecord)
+    : names_(std::move(aNames))
+    , host_(aHost)
     , promoter_(std::move(aPromoter))
     , record_(aRecord)
     , listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
@@ -179,9 +201,9 @@
 
   unsigned Handle(const std::string& aRequest)
   {
-    const std::string holder = FindHeader(aRequest, "X-Jaydoor-Duty-Holder");
+    const std::string holder = FindHeader(aRequest, names_.holderHeader_);
     const std::uint64_t token =
-      std::stoull("0" + FindHeader(aRequest, "X-Jaydoor-Fencing-Token"));
+      std::stoull("0" + FindHeader(aRequest, names_.tokenHeader_));
     const std::string body = aRequest.substr(aRequest.find("\r\n\r\n") + 4);
     {
       const std::lock_guard lock(mutex_);
@@ -207,6 +229,7 @@
     return status;
   }
 
+  PlatformNames names_;
   std::string host_;
   std::string promoter_;
   Record& record_;
@@ -230,8 +253,9 @@
 class Deployment
 {
 public:
-  explicit Deployment(Record& aRecord)
-    : config_(MakeDeploymentConfig(kEntryVms))
+  Deployment(PlatformNames aNames, Record& aRecord)
+    : names_(std::move(aNames))
+    , config_(MakeDeploymentConfig(kEntryVms))
     , record_(aRecord)
   {
     std::filesystem::create_directories(config_.folder_);
@@ -247,7 +271,7 @@
     group_ = std::make_unique<tests::LineGroup>(context_, std::move(group));
     started_ = group_->Start().has_value();
     thread_ = std::thread([this] { context_.run(); });
-    platform_.emplace(Host(1, 200), Host(1, 201), record_);
+    platform_.emplace(names_, Host(1, 200), Host(1, 201), record_);
     for (int zone = 1; zone <= kZones; zone++) {
       Start(fmt::format("control-{}", zone), zone, Host(zone, 1), true);
     }
@@ -309,7 +333,7 @@
                      [&] {
                        return CallAndWait(Host(1, 1),
                                           tests::kControlPort,
-                                          "/Config.Replace",
+                                          names_.configPath_,
                                           document,
                                           2s,
                                           "")
@@ -387,9 +411,11 @@
       std::vector<std::string>{ config_.build_ + "/daemon/jaydoord",
                                 "platform" },
       config_.folder_ + "/" + aName + ".log",
-      std::vector<std::string>{ "JAYDOOR_NODE_FILE=" + path });
+      std::vector<std::string>{
+        fmt::format("{}={}", platform::kNodeFileVariable, path) });
   }
 
+  PlatformNames names_;
   tests::LineDeploymentConfig config_;
   Record& record_;
   boost::asio::io_context context_{ 1 };
