--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -456,6 +456,7 @@
   Time grantedIndexAt_;
   std::map<VmId, Time> holderLiveAt_; // last seen live, in this leadership
   Time nextLogSizeCheckAt_;
+  std::set<VoterId> loggedGoneVoters_;   // in this leadership
   std::map<VoterId, Time> voterLiveAt_;  // last seen live, in this leadership
   std::map<VoterId, ZoneId> voterZones_; // last known
   VoterId leaderHint_;                   // last leader named by another VM
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -169,6 +169,7 @@
     leasesReset_ = false;
     proposedDocumentVersion_ = 0;
     voterLiveAt_.clear();
+    loggedGoneVoters_.clear();
     holderLiveAt_.clear();
     holderProposedAt_.clear();
     aOut.push_back(
@@ -227,6 +228,15 @@
     }
     if (id != raft_->Self() && IsVoterGone(id, aNow, kReplaceInZoneDelay)) {
       gone.push_back(id);
+      if (loggedGoneVoters_.insert(id).second) {
+        const ZoneId zone = findZoneOfVoter(id);
+        aOut.push_back(
+          LogControlEvent{ Event::VoterGone,
+                           fmt::format("voter={} zone={} ready_learners={}",
+                                       id,
+                                       zone.empty() ? "-" : zone,
+                                       raft_->ListReadyLearners().size()) });
+      }
     } else {
       votersPerZone[findZoneOfVoter(id)]++;
     }
