Membership: the member list is asked for until it has arrived, and an earlier run is outranked

A VM asked one seed for the complete list, once: if the datagram was lost and another VM probed it meanwhile, it counted as joined and never got the list. It then also missed that the others knew a newer incarnation of it, from before its clock was set back, and ignored its news.

--- a/control/Membership.cpp
+++ b/control/Membership.cpp
@@ -20,8 +20,8 @@
 
 // Time between two probes of seeds that are not live members.
 constexpr Duration kSeedProbeInterval = 1s;
-// The same while this VM knows of no live member. Short, because the seeds may
-// be starting at the same time, and a probe of a VM that is not up yet is lost.
+// The same until this VM has joined. Short, because the seeds may be starting
+// at the same time, and a probe of a VM that is not up yet is lost.
 constexpr Duration kJoinProbeInterval = 50ms;
 
 } // namespace
@@ -86,6 +86,15 @@
   return live;
 }
 
+const wire::Vm*
+Membership::Find(const VmId& aId) const
+{
+  const auto found = members_.find(aId);
+  return aId == self_.id()         ? &self_
+         : found == members_.end() ? nullptr
+                                   : &found->second.vm_;
+}
+
 bool
 Membership::IsLive(const VmId& aId) const
 {
@@ -145,10 +154,11 @@
     nextProbeAt_ = aNow + ProbeInterval();
     ProbeNextMember(aNow, aOut);
   }
-  if (aNow >= nextSeedProbeAt_) {
-    nextSeedProbeAt_ =
-      aNow + (HasLiveMember() ? kSeedProbeInterval : kJoinProbeInterval);
-    ProbeMissingSeed(aNow, aOut);
+  if (aNow >= nextJoinProbeAt_) {
+    const bool joined = joined_ && HasLiveMember();
+    nextJoinProbeAt_ =
+      aNow + (joined ? kSeedProbeInterval : kJoinProbeInterval);
+    ProbeToJoin(aNow, aOut);
   }
 }
 
@@ -183,21 +193,26 @@
 
 // Probes a random seed that is not a live member. This goes on for as long as a
 // seed is missing, so that parts of the fleet that were separated by a network
-// partition rejoin.
+// partition rejoin. Until the complete member list has arrived, live members
+// are asked for it as well.
 void
-Membership::ProbeMissingSeed(Time aNow, std::vector<SendToVm>& aOut)
+Membership::ProbeToJoin(Time aNow, std::vector<SendToVm>& aOut)
 {
-  std::vector<VmId> missing;
+  std::vector<VmId> targets;
   for (const auto& seed : seeds_) {
     if (!IsLive(seed.id())) {
-      missing.push_back(seed.id());
+      targets.push_back(seed.id());
     }
   }
-  if (missing.empty()) {
+  if (!joined_) {
+    const std::vector<VmId> live = ShuffleLiveMembers();
+    targets.insert(targets.end(), live.begin(), live.end());
+  }
+  if (targets.empty()) {
     return;
   }
-  const VmId& target = missing[random_() % missing.size()];
-  SendProbe(target, PendingProbe{ target, aNow, true, {}, 0 }, aOut);
+  const VmId& target = targets[random_() % targets.size()];
+  SendProbe(target, PendingProbe{ target, aNow, true, {}, 0, true }, aOut);
   aOut.back().message_.mutable_probe()->set_join(true);
 }
 
@@ -232,7 +247,7 @@
       }
       const bool timedOut =
         waited >= timing_.replyTimeout_ + timing_.indirectTimeout_;
-      if (timedOut && aPending.requester_.empty()) {
+      if (timedOut && aPending.requester_.empty() && !aPending.join_) {
         failed.push_back(aPending.target_);
       }
       return timedOut;
@@ -341,6 +356,7 @@
   }
   const PendingProbe pending = found->second;
   pendingProbes_.erase(found);
+  joined_ = joined_ || pending.join_;
   if (!pending.requester_.empty()) {
     SendToVm send;
     send.to_ = pending.requester_;
@@ -373,7 +389,9 @@
   if (vm.id() == self_.id()) {
     const bool isFalseSuspicion =
       state != MemberState::Alive && vm.incarnation() >= self_.incarnation();
-    if (isFalseSuspicion) {
+    // The clock was set back between two starts.
+    const bool isFormerRun = vm.incarnation() > self_.incarnation();
+    if (isFalseSuspicion || isFormerRun) {
       self_.set_incarnation(vm.incarnation() + 1);
       newsSendsLeft_[self_.id()] = 0;
       QueueNews(Member{ self_, MemberState::Alive, aNow });
@@ -428,6 +446,20 @@
   QueueNews(Member{ self_, MemberState::Alive, {} });
 }
 
+// A probe whose reply is not awaited, so that its loss raises no suspicion.
+void
+Membership::SendDescription(const VmId& aTo, std::vector<SendToVm>& aOut)
+{
+  SendToVm send;
+  send.to_ = aTo;
+  auto& probe = *send.message_.mutable_probe();
+  probe.set_sequence(nextSequence_++);
+  for (auto& news : PickNews(false)) {
+    *probe.add_news() = std::move(news);
+  }
+  aOut.push_back(std::move(send));
+}
+
 std::vector<wire::MemberNews>
 Membership::PickNews(bool aFullList)
 {
--- a/control/Membership.h
+++ b/control/Membership.h
@@ -79,11 +79,16 @@
 
   // Adds VMs to join the fleet through; seeds that are already known stay.
   void AddSeeds(std::vector<wire::Vm> aSeeds);
+  // Sends the description of this VM to another one out of turn. It may be
+  // lost.
+  void SendDescription(const VmId& aTo, std::vector<SendToVm>& aOut);
   // Announces that this VM is leaving the fleet, or no longer is.
   void SetLeaving(bool aLeaving);
 
   // Alive and suspect VMs, this one included, sorted by id.
   std::vector<wire::Vm> ListLiveVms() const;
+  // The VM as it last described itself, also if it is dead; null: unknown.
+  const wire::Vm* Find(const VmId& aId) const;
   // True for this VM and for members that are alive or suspect.
   bool IsLive(const VmId& aId) const;
   // Up to `aCount` different live VMs other than this one, in random order.
@@ -110,12 +115,13 @@
     bool indirectRequested_ = false;
     VmId requester_; // VM for which the target is probed; empty: this one
     std::uint64_t requesterSequence_ = 0; // of that VM's own probe
+    bool join_ = false;                   // asks for the complete member list
   };
 
   std::vector<VmId> ShuffleLiveMembers();
   void ProbeNextMember(Time aNow, std::vector<SendToVm>& aOut);
   bool HasLiveMember() const;
-  void ProbeMissingSeed(Time aNow, std::vector<SendToVm>& aOut);
+  void ProbeToJoin(Time aNow, std::vector<SendToVm>& aOut);
   void SendProbe(const VmId& aTo,
                  PendingProbe aPending,
                  std::vector<SendToVm>& aOut);
@@ -141,7 +147,8 @@
   std::vector<MemberChange> changes_;
   std::uint64_t nextSequence_ = 1; // of the next probe
   Time nextProbeAt_;
-  Time nextSeedProbeAt_;
+  Time nextJoinProbeAt_;
+  bool joined_ = false; // another VM has sent the complete member list
 };
 
 } // namespace jaydoor
