Raft: voters are replaced under the majorities of the former and the new set

The set of voters was changed by one member a step, so that a replacement went through a set of four (of three) or two. In a set of four with a voter that is gone, the loss of the successor takes the quorum, though the former set would have kept it. Now a change names both sets, needs a majority of each until it is committed, and is completed by whoever leads. Also the transfer of leadership (used later). Tests: a change is completed by the next leader.

--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -134,21 +134,23 @@
   if (known || !CanDecideAsLeader(aNow) || !raft_->CanChangeVoters()) {
     return;
   }
-  wire::Change change;
+  wire::VoterSet next;
   for (const auto& id : raft_->Voters().voters()) {
     if (VmOfVoter(id) != VmOfVoter(aVoter)) {
-      change.mutable_voters()->add_voters(id);
+      next.add_voters(id);
     }
   }
   for (const auto& id : learners) {
     if (VmOfVoter(id) != VmOfVoter(aVoter)) {
-      change.mutable_voters()->add_learners(id);
+      next.add_learners(id);
     }
   }
-  change.mutable_voters()->add_learners(aVoter);
+  next.add_learners(aVoter);
   aOut.push_back(
     LogControlEvent{ Event::VoterReplaced, fmt::format("learner={}", aVoter) });
-  Propose(change, aNow, aOut);
+  RaftActions actions;
+  raft_->ProposeVoters(std::move(next), aNow, actions);
+  PerformRaftActions(std::move(actions), aOut);
 }
 
 // Advances Raft, resets what belongs to one leadership when this VM becomes the
@@ -246,15 +248,15 @@
   const std::size_t maxPerZone =
     zones.empty() ? target : (target + zones.size() - 1) / zones.size();
   const auto propose = [&](Event aEvent, const VoterId& aVoter) {
-    wire::Change change;
-    *change.mutable_voters() = set;
     aOut.push_back(
       LogControlEvent{ aEvent,
                        fmt::format("voter={} voters={} learners={}",
                                    aVoter,
                                    set.voters_size(),
                                    set.learners_size()) });
-    Propose(change, aNow, aOut);
+    RaftActions actions;
+    raft_->ProposeVoters(set, aNow, actions);
+    PerformRaftActions(std::move(actions), aOut);
   };
   auto& voters = *set.mutable_voters();
   auto& learners = *set.mutable_learners();
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -9,6 +9,44 @@
 constexpr std::uint64_t kMaxEntriesPerMessage = 64;
 constexpr Duration kSnapshotResendInterval = 500ms;
 
+using VoterIds = google::protobuf::RepeatedPtrField<std::string>;
+
+bool
+Contains(const VoterIds& aIds, const VoterId& aId)
+{
+  return std::find(aIds.begin(), aIds.end(), aId) != aIds.end();
+}
+
+bool
+HasMajority(const VoterIds& aVoters, const std::set<VoterId>& aIds)
+{
+  const auto count =
+    std::count_if(aVoters.begin(), aVoters.end(), [&](const auto& aVoter) {
+      return aIds.contains(aVoter);
+    });
+  return count > aVoters.size() / 2;
+}
+
+// Returns the highest value that a majority of each set of voters has reached.
+// The former set is empty unless the voters are being changed.
+template<typename GetValue>
+auto
+FindQuorumValue(const wire::VoterSet& aVoters, const GetValue& aGetValue)
+{
+  const auto findMajorityValue = [&](const VoterIds& aIds) {
+    std::vector<decltype(aGetValue(VoterId()))> values;
+    for (const auto& id : aIds) {
+      values.push_back(aGetValue(id));
+    }
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values[values.size() / 2];
+  };
+  const auto value = findMajorityValue(aVoters.voters());
+  return aVoters.outgoing().empty()
+           ? value
+           : std::min(value, findMajorityValue(aVoters.outgoing()));
+}
+
 std::int64_t
 ToMicroseconds(Time aTime)
 {
@@ -80,24 +118,37 @@
 bool
 Raft::IsVoter(const VoterId& aId) const
 {
-  return std::find(voters_.voters().begin(), voters_.voters().end(), aId) !=
-         voters_.voters().end();
+  return Contains(voters_.voters(), aId) || Contains(voters_.outgoing(), aId);
 }
 
 bool
-Raft::IsQuorum(std::size_t aCount) const
+Raft::IsQuorum(const std::set<VoterId>& aIds) const
+{
+  return HasMajority(voters_.voters(), aIds) &&
+         (voters_.outgoing().empty() || HasMajority(voters_.outgoing(), aIds));
+}
+
+// The voters, former ones that still vote included.
+std::vector<VoterId>
+Raft::ListVoters() const
 {
-  return aCount > static_cast<std::size_t>(voters_.voters_size()) / 2;
+  std::set<VoterId> ids(voters_.voters().begin(), voters_.voters().end());
+  ids.insert(voters_.outgoing().begin(), voters_.outgoing().end());
+  return { ids.begin(), ids.end() };
 }
 
+// The other voters, and the learners.
 std::vector<VoterId>
 Raft::ListPeers() const
 {
-  std::vector<VoterId> others(voters_.voters().begin(), voters_.voters().end());
-  others.insert(
-    others.end(), voters_.learners().begin(), voters_.learners().end());
-  std::erase(others, self_);
-  return others;
+  std::vector<VoterId> peers = ListVoters();
+  for (const auto& id : voters_.learners()) {
+    if (!IsVoter(id)) {
+      peers.push_back(id);
+    }
+  }
+  std::erase(peers, self_);
+  return peers;
 }
 
 wire::ControlMessage
@@ -167,13 +218,16 @@
   }
   if (role_ == Role::Leader) {
     leaderHeardAt_ = aNow;
+    const bool transferFailed =
+      transferAt_ && aNow - *transferAt_ >= timing_.minElectionTimeout_;
     const bool hasLostQuorum =
       aNow - leaderSince_ >= timing_.minElectionTimeout_ &&
       aNow - QuorumReachedAt(aNow) >= timing_.minElectionTimeout_;
-    if (hasLostQuorum) {
+    if (hasLostQuorum || transferFailed) {
       StepDown(hardState_.term(), aNow, aOut);
       return;
     }
+    CompleteVoterChange(aNow, aOut);
     for (const auto& id : ListPeers()) {
       if (aNow - peers_[id].sentAt_ >= timing_.heartbeatInterval_) {
         SendAppend(id, aNow, aOut);
@@ -186,32 +240,29 @@
   }
 }
 
-// The latest time at which a quorum, this voter included, was reached: each
-// voter in it has answered a message that was sent then or later.
+// When a voter was last reached: it has answered a message that was sent then.
+Time
+Raft::ReachedAt(const VoterId& aId, Time aNow) const
+{
+  const auto found = peers_.find(aId);
+  return aId == self_            ? aNow
+         : found == peers_.end() ? Time{}
+                                 : found->second.answeredSentAt_;
+}
+
+// The latest time at which a quorum, this voter included, was reached.
 Time
 Raft::QuorumReachedAt(Time aNow) const
 {
-  std::vector<Time> reachedAt;
-  for (const auto& id : voters_.voters()) {
-    const auto found = peers_.find(id);
-    if (id == self_) {
-      reachedAt.push_back(aNow);
-    } else {
-      reachedAt.push_back(
-        found == peers_.end() ? Time{} : found->second.answeredSentAt_);
-    }
-  }
-  if (reachedAt.empty()) {
-    return Time{};
-  }
-  std::sort(reachedAt.begin(), reachedAt.end(), std::greater<>());
-  return reachedAt[reachedAt.size() / 2];
+  return IsBlank() ? Time{} : FindQuorumValue(voters_, [&](const auto& aId) {
+    return ReachedAt(aId, aNow);
+  });
 }
 
 bool
 Raft::HasLease(Time aNow) const
 {
-  return role_ == Role::Leader &&
+  return role_ == Role::Leader && !transferAt_ &&
          aNow - QuorumReachedAt(aNow) < timing_.leaderLeaseDuration_;
 }
 
@@ -222,6 +273,7 @@
 {
   role_ = Role::Candidate;
   preVote_ = aPreVote;
+  transferred_ = transferred_ && !aPreVote;
   leader_.clear();
   votes_ = { self_ };
   ResetElectionTimer(aNow);
@@ -240,7 +292,7 @@
     hardState_.set_voted_for(self_);
     aOut.push_back(SaveHardState{ hardState_ });
   }
-  if (IsQuorum(votes_.size())) {
+  if (IsQuorum(votes_)) {
     if (aPreVote) {
       StartElection(false, aNow, aOut);
     } else {
@@ -248,7 +300,7 @@
     }
     return;
   }
-  for (const auto& id : voters_.voters()) {
+  for (const auto& id : ListVoters()) {
     if (id == self_) {
       continue;
     }
@@ -259,6 +311,7 @@
     vote.set_last_term(TermAt(LastIndex()));
     vote.set_pre(aPreVote);
     vote.set_all_fresh(allWithoutLeader_);
+    vote.set_transfer(transferred_);
     aOut.push_back(SendToVoter{ id, std::move(message) });
   }
 }
@@ -269,9 +322,11 @@
 bool
 Raft::IsEveryVoterWithoutLeader() const
 {
-  const auto others = voters_.voters_size() - 1;
+  const std::vector<VoterId> voters = ListVoters();
   return noLeaderSinceStart_ &&
-         static_cast<int>(votersWithoutLeader_.size()) == others;
+         std::all_of(voters.begin(), voters.end(), [&](const auto& aId) {
+           return aId == self_ || votersWithoutLeader_.contains(aId);
+         });
 }
 
 bool
@@ -291,12 +346,14 @@
                         RaftActions& aOut)
 {
   // Leader stickiness: as long as there may be a leader, no vote is granted. It
-  // does not apply if all voters have said that they know of no leader.
+  // does not apply if all voters have said that they know of no leader, or if
+  // the leader has given up its lease.
+  const bool isFree =
+    aRequest.transfer() || (noLeaderSinceStart_ && aRequest.all_fresh());
   const bool mustRefuse =
-    role_ == Role::Leader ? HasLease(aNow)
-                          : !electionTimerStarted_ ||
-                              (aNow < stickyUntil_ &&
-                               !(noLeaderSinceStart_ && aRequest.all_fresh()));
+    role_ == Role::Leader
+      ? HasLease(aNow)
+      : !electionTimerStarted_ || (aNow < stickyUntil_ && !isFree);
   const bool canVote = IsVoter(self_) && IsVoter(aFrom) && !mustRefuse;
   auto message = MakeMessage(aFrom);
   auto& reply = *message.mutable_vote_reply();
@@ -363,7 +420,7 @@
     return;
   }
   votes_.insert(aFrom);
-  if (!IsQuorum(votes_.size())) {
+  if (!IsQuorum(votes_)) {
     return;
   }
   if (preVote_) {
@@ -379,6 +436,7 @@
   role_ = Role::Leader;
   leader_ = self_;
   leaderSince_ = aNow;
+  transferAt_.reset();
   peers_.clear();
   for (const auto& id : ListPeers()) {
     peers_[id].nextIndex_ = LastIndex() + 1;
@@ -410,7 +468,7 @@
 std::optional<std::uint64_t>
 Raft::Propose(wire::Change aChange, Time aNow, RaftActions& aOut)
 {
-  if (role_ != Role::Leader) {
+  if (role_ != Role::Leader || transferAt_) {
     return std::nullopt;
   }
   aChange.set_index(LastIndex() + 1);
@@ -495,6 +553,10 @@
   peer.nextIndex_ = std::max(peer.nextIndex_, peer.matchIndex_ + 1);
   const std::uint64_t committedBefore = commitIndex_;
   CommitQuorumEntries(aOut);
+  CompleteVoterChange(aNow, aOut);
+  if (role_ != Role::Leader) {
+    return;
+  }
   if (commitIndex_ > committedBefore) {
     SendAppendToAll(aNow, aOut); // the followers pass on what is committed
   } else if (peer.nextIndex_ <= LastIndex()) {
@@ -502,25 +564,26 @@
   }
 }
 
+// The highest index that is known to be on the voter's disk.
+std::uint64_t
+Raft::MatchIndexOf(const VoterId& aId) const
+{
+  const auto found = peers_.find(aId);
+  return aId == self_            ? LastIndex()
+         : found == peers_.end() ? 0
+                                 : found->second.matchIndex_;
+}
+
 // Commits the entries that a quorum has on disk, if the last one of them is of
 // the leader's own term.
 void
 Raft::CommitQuorumEntries(RaftActions& aOut)
 {
-  std::vector<std::uint64_t> matches;
-  for (const auto& id : voters_.voters()) {
-    const auto found = peers_.find(id);
-    if (id == self_) {
-      matches.push_back(LastIndex());
-    } else {
-      matches.push_back(found == peers_.end() ? 0 : found->second.matchIndex_);
-    }
-  }
-  if (matches.empty()) {
+  if (IsBlank()) {
     return;
   }
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  const std::uint64_t index = matches[matches.size() / 2];
+  const std::uint64_t index = FindQuorumValue(
+    voters_, [&](const auto& aId) { return MatchIndexOf(aId); });
   if (index > commitIndex_ && TermAt(index) == hardState_.term()) {
     AdvanceCommit(index, aOut);
   }
@@ -545,14 +608,30 @@
   return bytes;
 }
 
+bool
+Raft::IsReachable(const VoterId& aId, Time aNow) const
+{
+  return aNow - ReachedAt(aId, aNow) < timing_.minElectionTimeout_;
+}
+
+bool
+Raft::ReachesQuorumOf(const wire::VoterSet& aVoters, Time aNow) const
+{
+  std::set<VoterId> reachable;
+  for (const auto& id : aVoters.voters()) {
+    if (IsReachable(id, aNow)) {
+      reachable.insert(id);
+    }
+  }
+  return HasMajority(aVoters.voters(), reachable);
+}
+
 std::vector<VoterId>
 Raft::ListReadyLearners() const
 {
   std::vector<VoterId> ready;
   for (const auto& id : voters_.learners()) {
-    const auto found = peers_.find(id);
-    if (found != peers_.end() && found->second.matchIndex_ >= commitIndex_ &&
-        commitIndex_ > 0) {
+    if (MatchIndexOf(id) >= commitIndex_ && commitIndex_ > 0) {
       ready.push_back(id);
     }
   }
@@ -569,7 +648,81 @@
 bool
 Raft::CanChangeVoters() const
 {
-  return HasCommittedInOwnTerm() && commitIndex_ >= votersIndex_;
+  return HasCommittedInOwnTerm() && commitIndex_ >= votersIndex_ &&
+         voters_.outgoing().empty();
+}
+
+// ---- Changes of the voters
+
+void
+Raft::ProposeVoters(wire::VoterSet aNext, Time aNow, RaftActions& aOut)
+{
+  const std::set<VoterId> next(aNext.voters().begin(), aNext.voters().end());
+  const std::vector<VoterId> present = ListVoters();
+  const bool isSame = next == std::set<VoterId>(present.begin(), present.end());
+  if (!isSame) {
+    *aNext.mutable_outgoing() = voters_.voters();
+  }
+  wire::Change change;
+  *change.mutable_voters() = std::move(aNext);
+  Propose(std::move(change), aNow, aOut);
+}
+
+// Ends the vote of the former voters once the former and the new ones have
+// committed the change. A leader that is none of the new ones steps down when
+// that is committed too.
+void
+Raft::CompleteVoterChange(Time aNow, RaftActions& aOut)
+{
+  if (!HasCommittedInOwnTerm() || commitIndex_ < votersIndex_) {
+    return;
+  }
+  if (!voters_.outgoing().empty()) {
+    wire::Change change;
+    *change.mutable_voters() = voters_;
+    change.mutable_voters()->clear_outgoing();
+    Propose(std::move(change), aNow, aOut);
+  } else if (!IsVoter(self_)) {
+    StepDown(hardState_.term(), aNow, aOut);
+  }
+}
+
+// ---- Transfer of the leadership
+
+void
+Raft::TransferLeadership(std::span<const VoterId> aTo,
+                         Time aNow,
+                         RaftActions& aOut)
+{
+  if (role_ != Role::Leader || transferAt_) {
+    return;
+  }
+  const auto successor =
+    std::find_if(aTo.begin(), aTo.end(), [&](const auto& aId) {
+      return aId != self_ && IsVoter(aId) && IsReachable(aId, aNow) &&
+             MatchIndexOf(aId) == LastIndex();
+    });
+  if (successor == aTo.end()) {
+    return;
+  }
+  transferAt_ = aNow;
+  auto message = MakeMessage(*successor);
+  message.mutable_leader_transfer()->set_term(hardState_.term());
+  aOut.push_back(SendToVoter{ *successor, std::move(message) });
+}
+
+void
+Raft::HandleLeaderTransfer(const VoterId& aFrom,
+                           const wire::LeaderTransfer& aTransfer,
+                           Time aNow,
+                           RaftActions& aOut)
+{
+  const bool isFromLeader = role_ == Role::Follower && leader_ == aFrom &&
+                            aTransfer.term() == hardState_.term();
+  if (isFromLeader && IsVoter(self_)) {
+    transferred_ = true;
+    StartElection(false, aNow, aOut);
+  }
 }
 
 // ---- Replication on the followers
@@ -715,6 +868,9 @@
     case wire::ControlMessage::kAppendReply:
       HandleAppendReply(from, aMessage.append_reply(), aNow, aOut);
       break;
+    case wire::ControlMessage::kLeaderTransfer:
+      HandleLeaderTransfer(from, aMessage.leader_transfer(), aNow, aOut);
+      break;
     case wire::ControlMessage::kSnapshot:
       HandleSnapshotRequest(from, aMessage.snapshot(), aNow, aOut);
       break;
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -27,6 +27,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -127,6 +128,17 @@
   std::optional<std::uint64_t> Propose(wire::Change aChange,
                                        Time aNow,
                                        RaftActions& aOut);
+  // Replaces the voters and learners, in two entries: until the first one is
+  // committed by the former and the new voters, the former ones keep their
+  // vote. A leader that finds the first entry in its log appends the second.
+  // Call only if CanChangeVoters(); `aNext` must contain this voter.
+  void ProposeVoters(wire::VoterSet aNext, Time aNow, RaftActions& aOut);
+  // Hands the leadership to one of these voters, if one of them is up to date
+  // and reachable. From then on this voter has no lease and accepts no changes.
+  // It steps down if the other one is not elected in time.
+  void TransferLeadership(std::span<const VoterId> aTo,
+                          Time aNow,
+                          RaftActions& aOut);
   // Creates a new fleet's control state with these voters. Call only on a blank
   // disk.
   void FoundControlState(const wire::VoterSet& aVoters, RaftActions& aOut);
@@ -150,13 +162,19 @@
   // True as long as this voter knows no set of voters.
   bool IsBlank() const { return voters_.voters().empty(); }
   bool IsVoter(const VoterId& aId) const;
+  // True if this leader has just heard from the voter or learner.
+  bool IsReachable(const VoterId& aId, Time aNow) const;
+  // True if this leader has just heard from a quorum of these voters.
+  bool ReachesQuorumOf(const wire::VoterSet& aVoters, Time aNow) const;
   // Learners that have caught up with the commit index.
   std::vector<VoterId> ListReadyLearners() const;
   // Size in bytes of the entries that the snapshot does not contain.
   std::size_t LogBytes() const;
   // True if this is the leader, an entry of its own term is committed, and so
-  // is the latest change of the voters.
+  // is the latest change of the voters, both entries of it.
   bool CanChangeVoters() const;
+  // True unless the latest change of the voters may still be undone.
+  bool AreVotersCommitted() const { return commitIndex_ >= votersIndex_; }
   // True if this is the leader and an entry of its own term is committed, and
   // with it all that earlier leaders have committed.
   bool HasCommittedInOwnTerm() const;
@@ -210,6 +228,11 @@
   bool StoreEntries(const wire::AppendRequest& aRequest, RaftActions& aOut);
   void AdvanceCommit(std::uint64_t aIndex, RaftActions& aOut);
   void CommitQuorumEntries(RaftActions& aOut);
+  void CompleteVoterChange(Time aNow, RaftActions& aOut);
+  void HandleLeaderTransfer(const VoterId& aFrom,
+                            const wire::LeaderTransfer& aTransfer,
+                            Time aNow,
+                            RaftActions& aOut);
   void StartElection(bool aPreVote, Time aNow, RaftActions& aOut);
   void BecomeLeader(Time aNow, RaftActions& aOut);
   void StepDown(std::uint64_t aTerm, Time aNow, RaftActions& aOut);
@@ -217,7 +240,10 @@
   void SendAppendToAll(Time aNow, RaftActions& aOut);
   void ResetElectionTimer(Time aNow);
   void UpdateVoters();
-  bool IsQuorum(std::size_t aCount) const;
+  bool IsQuorum(const std::set<VoterId>& aIds) const;
+  std::uint64_t MatchIndexOf(const VoterId& aId) const;
+  Time ReachedAt(const VoterId& aId, Time aNow) const;
+  std::vector<VoterId> ListVoters() const;
   bool IsEveryVoterWithoutLeader() const;
   bool IsUpToDate(const wire::VoteRequest& aRequest) const;
   Time QuorumReachedAt(Time aNow) const;
@@ -237,6 +263,9 @@
   std::uint64_t votersIndex_ = 0; // of the entry with these voters
   Role role_ = Role::Follower;
   bool preVote_ = false; // the candidate's present round is a pre-vote
+  // The former leader asked for the present election. Sent with the requests
+  // for votes.
+  bool transferred_ = false;
   // This voter has heard no leader and granted no vote since its start.
   bool noLeaderSinceStart_ = true;
   // All voters have, by what they told this candidate, heard no leader and
@@ -246,9 +275,10 @@
   std::set<VoterId> votersWithoutLeader_;
   std::set<VoterId> votes_; // voters that granted their vote in this round
   VoterId leader_;          // empty: unknown
-  Time stickyUntil_;   // until then votes are refused, as there may be a leader
-  Time electionAt_;    // when an election starts unless a leader is heard
-  Time leaderSince_;   // when this voter became the leader
+  Time stickyUntil_; // until then votes are refused, as there may be a leader
+  Time electionAt_;  // when an election starts unless a leader is heard
+  Time leaderSince_; // when this voter became the leader
+  std::optional<Time> transferAt_; // when this leader handed its leadership on
   Time leaderHeardAt_; // last message of a leader, or last tick as the leader
   bool electionTimerStarted_ = false; // set by the first Tick
   std::map<VoterId, Peer> peers_;     // used by the leader only
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -621,6 +621,32 @@
   }
 }
 
+TEST_CASE("A change of the voters is completed by the next leader")
+{
+  Voters voters;
+  voters.AwaitLeader(2s);
+  Raft* leader = voters.Leader();
+  REQUIRE(leader != nullptr);
+  const VoterId former = leader->Self();
+  voters.Start("d/1");
+  wire::VoterSet next = leader->Voters();
+  auto& replaced = *next.mutable_voters(former == "c/1" ? 1 : 2);
+  replaced = "d/1";
+  RaftActions actions;
+  leader->ProposeVoters(next, voters.now_, actions);
+  voters.rafts_.erase(former); // it gets no answers to its first entry
+  voters.Deliver(std::move(actions));
+  voters.AwaitLeader(4s);
+  REQUIRE(voters.Leader() != nullptr);
+  CHECK(voters.Leader()->Self() != former);
+  for (int i = 0; i < 20; i++) {
+    voters.Tick();
+  }
+  CHECK(voters.Leader()->CanChangeVoters());
+  CHECK(voters.Leader()->Voters().outgoing().empty());
+  CHECK(voters.Leader()->IsVoter("d/1"));
+}
+
 TEST_CASE("A compacted log keeps its voters")
 {
   // No entry of the log names the voters that founded the control state.
