Control: a voter that is gone is replaced, whoever leads

Cause, by J205 and J200: the zone of the gone voter and the time since it was gone stood in the memory of one leader.

Change: VoterPlan decides from the log and from live membership alone, every voter keeps when the others were last seen, and a learner takes over a vote in one change under both majorities. It works since nothing that an earlier leader knew is needed any more.

Before: replacement_test, "A voter that is gone is replaced", failed in all 20 combinations of case and seed, and "The successor loses its disk" failed.

--- a/base/Log.h
+++ b/base/Log.h
@@ -46,7 +46,7 @@
   VoterReplaced = 202,
   SnapshotTaken = 203,
   VoterRemoved = 204,
-  VoterGone = 205,
+  VoterFaulty = 205,
   RulesInForce = 210,
   RulesConflict = 211,
   DocumentInForce = 212,
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -24,6 +24,7 @@
 #include "control/PrimaryPoints.h"
 #include "control/Promoter.h"
 #include "control/Raft.h"
+#include "control/VoterPlan.h"
 
 #include <set>
 #include <variant>
@@ -360,7 +361,13 @@
                       ControlActions& aOut);
   void ProposeLearner(const VoterId& aVoter, Time aNow, ControlActions& aOut);
   void TickVoterSet(Time aNow, ControlActions& aOut);
-  bool IsVoterGone(const VoterId& aVoter, Time aNow, Duration aLimit);
+  void RecordVotersSeen(Time aNow);
+  bool IsUsable(const VoterId& aVoter) const;
+  VoterStatus FindVoterStatus(const VoterId& aVoter, Time aNow) const;
+  void ProposeVoters(wire::VoterSet aNext, Time aNow, ControlActions& aOut);
+  void ProposeVoterChange(const VoterChange& aChange,
+                          Time aNow,
+                          ControlActions& aOut);
   void TickDocumentWrites(Time aNow, ControlActions& aOut);
   void TickDocumentReads(Time aNow, ControlActions& aOut);
   bool HandleLeaseMessage(const wire::ControlMessage& aMessage,
@@ -456,10 +463,11 @@
   Time grantedIndexAt_;
   std::map<VmId, Time> holderLiveAt_; // last seen live, in this leadership
   Time nextLogSizeCheckAt_;
-  std::set<VoterId> loggedGoneVoters_;   // in this leadership
-  std::map<VoterId, Time> voterLiveAt_;  // last seen live, in this leadership
-  std::map<VoterId, ZoneId> voterZones_; // last known
-  VoterId leaderHint_;                   // last leader named by another VM
+  // When voters and learners were last seen live. Every voter keeps this, so
+  // that the next leader need not wait anew.
+  std::map<VoterId, Time> voterSeenAt_;
+  std::map<VoterId, VoterFault> loggedFaults_; // in this leadership
+  VoterId leaderHint_; // last leader named by another VM
   // The state is proven once this index is applied.
   std::optional<std::uint64_t> proofIndex_;
   // A VM whose state was proven has sent a delta.
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -3,6 +3,8 @@
 
 #include "control/ControlNode.h"
 
+#include "base/Erase.h"
+
 #include <algorithm>
 #include <set>
 
@@ -21,11 +23,9 @@
 constexpr Duration kLogSizeCheckInterval = 500ms;
 // A voter that has not heard from a leader for this long asks to join again.
 constexpr Duration kRejoinDelay = 2s;
-// A voter that is gone for this long is replaced by one in its own zone.
-constexpr Duration kReplaceInZoneDelay = 3s;
-// A voter that is gone for this long is replaced by one in another zone. This
-// takes longer, since the voter may come back.
-constexpr Duration kReplaceAcrossZonesDelay = 20s;
+// A voter that has not been live for this long is replaced. A process that was
+// only restarted is back earlier.
+constexpr Duration kVoterGoneDelay = 1s;
 // A learner that is gone for this long is removed.
 constexpr Duration kLearnerTimeout = 30s;
 // Log entries that are kept after the index of a snapshot.
@@ -120,37 +120,29 @@
   ProposeLearner(voter, aNow, aOut);
 }
 
-// Proposes an unknown disk as a learner. The former disk of its VM is lost and
-// is removed from voters and learners. The set of voters changes one step at a
-// time.
+// Proposes an unknown disk as a learner.
 void
 ControlNode::ProposeLearner(const VoterId& aVoter,
                             Time aNow,
                             ControlActions& aOut)
 {
-  const auto& learners = raft_->Voters().learners();
+  wire::VoterSet next = raft_->Voters();
+  auto& learners = *next.mutable_learners();
   const bool known =
     std::find(learners.begin(), learners.end(), aVoter) != learners.end();
-  if (known || !CanDecideAsLeader(aNow) || !raft_->CanChangeVoters()) {
+  if (known || !CanDecideAsLeader(aNow) ||
+      !raft_->CanChangeVoters()) {
     return;
   }
-  wire::VoterSet next;
-  for (const auto& id : raft_->Voters().voters()) {
-    if (VmOfVoter(id) != VmOfVoter(aVoter)) {
-      next.add_voters(id);
-    }
-  }
-  for (const auto& id : learners) {
-    if (VmOfVoter(id) != VmOfVoter(aVoter)) {
-      next.add_learners(id);
-    }
-  }
+  const auto kept =
+    std::remove_if(learners.begin(), learners.end(), [&](const auto& aId) {
+      return VmOfVoter(aId) == VmOfVoter(aVoter);
+    });
+  learners.erase(kept, learners.end());
   next.add_learners(aVoter);
   aOut.push_back(
     LogControlEvent{ Event::VoterReplaced, fmt::format("learner={}", aVoter) });
-  RaftActions actions;
-  raft_->ProposeVoters(std::move(next), aNow, actions);
-  PerformRaftActions(std::move(actions), aOut);
+  ProposeVoters(std::move(next), aNow, aOut);
 }
 
 // Advances Raft, resets what belongs to one leadership when this VM becomes the
@@ -170,137 +162,168 @@
     failover_.Reset();
     leasesReset_ = false;
     proposedDocumentVersion_ = 0;
-    voterLiveAt_.clear();
-    loggedGoneVoters_.clear();
+    loggedFaults_.clear();
     holderLiveAt_.clear();
     holderProposedAt_.clear();
     aOut.push_back(
       LogControlEvent{ wasLeader_ ? Event::LeaderElected : Event::LeaderLost,
                        fmt::format("term={}", raft_->Term()) });
   }
+  RecordVotersSeen(aNow);
   TickVoterSet(aNow, aOut);
   TickCompaction(aNow, aOut);
 }
 
-// True if the VM of this voter has not been live for `aLimit`, as seen by this
-// VM since it became the leader.
+// ---- The set of voters
+
+// True if the VM of the voter is live, with this disk.
 bool
-ControlNode::IsVoterGone(const VoterId& aVoter, Time aNow, Duration aLimit)
+ControlNode::IsUsable(const VoterId& aVoter) const
 {
-  // For a voter that has just joined the time starts now, and not at the
-  // election.
-  Time& liveAt = voterLiveAt_.try_emplace(aVoter, aNow).first->second;
-  if (membership_.IsLive(VmOfVoter(aVoter))) {
-    liveAt = aNow;
+  const VmId vm = VmOfVoter(aVoter);
+  const wire::Vm* known = membership_.Find(vm);
+  return known != nullptr && known->voter() == aVoter && membership_.IsLive(vm);
+}
+
+// A voter or learner that this VM has not known before counts as seen now.
+void
+ControlNode::RecordVotersSeen(Time aNow)
+{
+  std::set<VoterId> ids;
+  const wire::VoterSet& set = raft_->Voters();
+  for (const auto* group :
+       { &set.voters(), &set.outgoing(), &set.learners() }) {
+    ids.insert(group->begin(), group->end());
+  }
+  EraseWhere(voterSeenAt_,
+             [&](const VoterId& aId, Time) { return !ids.contains(aId); });
+  for (const auto& id : ids) {
+    Time& seenAt = voterSeenAt_.try_emplace(id, aNow).first->second;
+    if (IsUsable(id) || (raft_->IsLeader() && raft_->IsReachable(id, aNow))) {
+      seenAt = aNow;
+    }
+  }
+}
+
+VoterStatus
+ControlNode::FindVoterStatus(const VoterId& aVoter, Time aNow) const
+{
+  VoterStatus status{ aVoter, {}, VoterFault::None };
+  const wire::Vm* vm = membership_.Find(VmOfVoter(aVoter));
+  if (vm != nullptr) {
+    status.zone_ = vm->zone();
+  }
+  if (vm != nullptr && vm->voter() != aVoter) {
+    status.fault_ = VoterFault::DiskLost;
+  } else if (aNow - voterSeenAt_.at(aVoter) >= kVoterGoneDelay) {
+    status.fault_ = VoterFault::Gone;
   }
-  return aNow - liveAt >= aLimit;
+  return status;
 }
 
-// Brings the set of voters closer to the target by at most one proposal:
-// the set changes one step at a time. Learners that have caught up become
-// voters while voters are missing, spread over the zones so that a majority
-// remains when a zone is lost. A voter that is gone is replaced: the new
-// one is added before the old one is removed, so that no acknowledged change is
-// on fewer disks in between. Learners that are gone are removed.
+// Brings the set of voters closer to the target, by one change at a time.
+// Learners that are gone are removed.
 void
 ControlNode::TickVoterSet(Time aNow, ControlActions& aOut)
 {
-  if (!CanDecideAsLeader(aNow) || !raft_->CanChangeVoters()) {
+  if (!CanDecideAsLeader(aNow)) {
     return;
   }
-  std::map<VmId, ZoneId> zoneByVm;
-  std::set<ZoneId> zones;
-  for (const auto& vm : membership_.ListLiveVms()) {
-    zoneByVm[vm.id()] = vm.zone();
-    if (!vm.voter().empty()) {
-      zones.insert(vm.zone());
-    }
-  }
-  const auto findZoneOfVoter = [&](const VoterId& aVoter) {
-    const auto known = voterZones_.find(aVoter);
-    return known == voterZones_.end() ? ZoneId() : known->second;
-  };
-  wire::VoterSet set = raft_->Voters();
-  std::map<ZoneId, std::size_t> votersPerZone;
-  std::vector<VoterId> gone;
+  const wire::VoterSet& set = raft_->Voters();
+  std::vector<VoterStatus> voters;
   for (const auto& id : set.voters()) {
-    if (const auto zone = zoneByVm.find(VmOfVoter(id));
-        zone != zoneByVm.end()) {
-      voterZones_[id] = zone->second;
-    }
-    if (id != raft_->Self() && IsVoterGone(id, aNow, kReplaceInZoneDelay)) {
-      gone.push_back(id);
-      if (loggedGoneVoters_.insert(id).second) {
-        const ZoneId zone = findZoneOfVoter(id);
-        aOut.push_back(
-          LogControlEvent{ Event::VoterGone,
-                           fmt::format("voter={} zone={} ready_learners={}",
-                                       id,
-                                       zone.empty() ? "-" : zone,
-                                       raft_->ListReadyLearners().size()) });
-      }
-    } else {
-      votersPerZone[findZoneOfVoter(id)]++;
+    voters.push_back(FindVoterStatus(id, aNow));
+    const VoterStatus& voter = voters.back();
+    VoterFault& logged = loggedFaults_[id];
+    if (voter.fault_ > logged) {
+      aOut.push_back(LogControlEvent{
+        Event::VoterFaulty,
+        fmt::format("voter={} cause={} zone={} ready_learners={}",
+                    id,
+                    ToString(voter.fault_),
+                    voter.zone_.empty() ? "-" : voter.zone_,
+                    raft_->ListReadyLearners().size()) });
     }
+    logged = voter.fault_;
   }
-  const auto voterCount = static_cast<std::size_t>(set.voters_size());
-  const std::size_t target = config_.targetVoterCount_;
-  const std::size_t maxPerZone =
-    zones.empty() ? target : (target + zones.size() - 1) / zones.size();
-  const auto propose = [&](Event aEvent, const VoterId& aVoter) {
-    aOut.push_back(
-      LogControlEvent{ aEvent,
-                       fmt::format("voter={} voters={} learners={}",
-                                   aVoter,
-                                   set.voters_size(),
-                                   set.learners_size()) });
-    RaftActions actions;
-    raft_->ProposeVoters(set, aNow, actions);
-    PerformRaftActions(std::move(actions), aOut);
-  };
-  auto& voters = *set.mutable_voters();
-  auto& learners = *set.mutable_learners();
-  if (target > 0 && voterCount > target) {
-    VoterId removed = gone.empty() ? VoterId() : gone.front();
-    for (const auto& id : voters) {
-      const bool isSurplus = removed.empty() && id != raft_->Self() &&
-                             votersPerZone[findZoneOfVoter(id)] > maxPerZone;
-      removed = isSurplus ? id : removed;
-    }
-    if (!removed.empty()) {
-      voters.erase(std::find(voters.begin(), voters.end(), removed));
-      propose(Event::VoterRemoved, removed);
-    }
+  if (!raft_->CanChangeVoters()) {
     return;
   }
+  std::vector<VoterStatus> ready;
   for (const auto& id : raft_->ListReadyLearners()) {
-    const ZoneId zone = zoneByVm[VmOfVoter(id)];
-    const bool wanted = target == 0 || voterCount < target || !gone.empty();
-    const bool keepsBalance = target == 0 || votersPerZone[zone] < maxPerZone;
-    const bool canReplace =
-      voterCount < target || target == 0 ||
-      std::any_of(gone.begin(), gone.end(), [&](const auto& aGone) {
-        return findZoneOfVoter(aGone) == zone ||
-               IsVoterGone(aGone, aNow, kReplaceAcrossZonesDelay);
-      });
-    if (wanted && keepsBalance && canReplace) {
-      learners.erase(std::find(learners.begin(), learners.end(), id));
-      voters.Add(std::string(id));
-      propose(Event::VoterReplaced, id);
-      return;
+    const VoterStatus learner = FindVoterStatus(id, aNow);
+    if (learner.fault_ == VoterFault::None) {
+      ready.push_back(learner);
     }
   }
-  const auto goneLearner =
-    std::find_if(learners.begin(), learners.end(), [&](const auto& aLearner) {
-      return IsVoterGone(aLearner, aNow, kLearnerTimeout);
+  if (const auto change = PlanVoterChange(
+        voters, ready, config_.targetVoterCount_, raft_->Self())) {
+    ProposeVoterChange(*change, aNow, aOut);
+    return;
+  }
+  const auto goneLearner = std::find_if(
+    set.learners().begin(), set.learners().end(), [&](const auto& aLearner) {
+      return aNow - voterSeenAt_.at(aLearner) >= kLearnerTimeout;
     });
-  if (goneLearner != learners.end()) {
-    const VoterId id = std::move(*goneLearner);
-    learners.erase(goneLearner);
-    propose(Event::VoterRemoved, id);
+  if (goneLearner != set.learners().end()) {
+    ProposeVoterChange(
+      VoterChange{ {}, *goneLearner, VoterFault::Gone }, aNow, aOut);
   }
 }
 
+// A voter that is replaced stays as a learner unless its disk is lost, so that
+// it is up to date if it comes back. A change that would leave this leader
+// without a quorum of the new voters is not proposed.
+void
+ControlNode::ProposeVoterChange(const VoterChange& aChange,
+                                Time aNow,
+                                ControlActions& aOut)
+{
+  wire::VoterSet next = raft_->Voters();
+  const auto remove = [](auto& aIds, const VoterId& aId) {
+    const auto found = std::find(aIds.begin(), aIds.end(), aId);
+    const bool isIn = found != aIds.end();
+    if (isIn) {
+      aIds.erase(found);
+    }
+    return isIn;
+  };
+  auto& learners = *next.mutable_learners();
+  remove(learners, aChange.added_);
+  remove(learners, aChange.removed_);
+  const bool wasVoter = remove(*next.mutable_voters(), aChange.removed_);
+  if (!aChange.added_.empty()) {
+    next.add_voters(aChange.added_);
+    if (wasVoter && aChange.fault_ != VoterFault::DiskLost) {
+      next.add_learners(aChange.removed_);
+    }
+  }
+  if (!raft_->ReachesQuorumOf(next, aNow)) {
+    return;
+  }
+  const bool adds = !aChange.added_.empty();
+  aOut.push_back(LogControlEvent{
+    adds ? Event::VoterReplaced : Event::VoterRemoved,
+    fmt::format("voter={} removed={} cause={} voters={} "
+                "learners={}",
+                adds ? aChange.added_ : aChange.removed_,
+                aChange.removed_.empty() ? "-" : aChange.removed_,
+                ToString(aChange.fault_),
+                next.voters_size(),
+                next.learners_size()) });
+  ProposeVoters(std::move(next), aNow, aOut);
+}
+
+void
+ControlNode::ProposeVoters(wire::VoterSet aNext,
+                           Time aNow,
+                           ControlActions& aOut)
+{
+  RaftActions actions;
+  raft_->ProposeVoters(std::move(aNext), aNow, actions);
+  PerformRaftActions(std::move(actions), aOut);
+}
+
 // Takes a snapshot every kChangesPerSnapshot changes, and compacts the log up
 // to it once kEntriesAfterSnapshot more changes are applied, so that followers
 // that are only slightly behind still find the entries that they need in the
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -192,20 +192,20 @@
 VoterWorld::Start(const VmId& aVm)
 {
   Vm& vm = vms_.at(aVm);
-  if (vm.up_) {
+  if (vm.up_ || vm.removed_) {
     return;
   }
   vm.up_ = true;
   vm.startCount_++;
   vm.upSince_ = now_;
   vm.frozenUntil_ = Time{};
-  vm.info_.set_incarnation(
-    static_cast<std::uint64_t>(CountMs(now_.time_since_epoch())));
+  vm.info_.set_incarnation(static_cast<std::uint64_t>(
+    CountMs((now_ - clockSetBack_).time_since_epoch())));
   const bool isFirstStart = vm.startCount_ == 1;
   ControlConfig config;
   config.randomSeed_ = random_();
   config.targetVoterCount_ = dataFolderCount_;
-  config.mayFoundFleet_ = isFirstStart;
+  config.mayFoundFleet_ = isFirstStart && vm.isFounder_;
   config.outsidePromotion_ = true;
   config.idsAreHosts_ = true;
   for (const auto& [id, other] : vms_) {
@@ -253,10 +253,69 @@
   vms_.at(aVm).diskNumber_ = 0;
 }
 
+void
+VoterWorld::AddVm(const VmId& aVm, const ZoneId& aZone)
+{
+  Vm vm;
+  vm.info_.set_id(aVm);
+  vm.info_.set_host(aVm);
+  vm.info_.set_zone(aZone);
+  vm.info_.set_control_port(1);
+  vm.hasDataFolder_ = true;
+  vm.isFounder_ = false;
+  vms_[aVm] = std::move(vm);
+  Start(aVm);
+}
+
+void
+VoterWorld::Remove(const VmId& aVm)
+{
+  Kill(aVm);
+  vms_.at(aVm).removed_ = true;
+}
+
+void
+VoterWorld::IsolateFor(const VmId& aVm, Duration aTime)
+{
+  isolated_.insert(aVm);
+  ScheduleAt(now_ + aTime, [this, aVm] { EndIsolation(aVm); });
+}
+
+void
+VoterWorld::EndIsolation(const VmId& aVm)
+{
+  isolated_.erase(aVm);
+  vms_.at(aVm).upSince_ = now_;
+  for (const auto& [other, vm] : vms_) {
+    DeliverQueued({ aVm, other });
+    DeliverQueued({ other, aVm });
+  }
+}
+
+VmId
+VoterWorld::LeaderVm() const
+{
+  for (const auto& [id, vm] : vms_) {
+    if (vm.up_ && vm.hasDataFolder_ && Consensus(id).HasLease(now_)) {
+      return id;
+    }
+  }
+  return {};
+}
+
+void
+VoterWorld::DeliverLate(wire::ControlMessage aMessage)
+{
+  StepNode(vms_.at(aMessage.to()), ControlMessageReceived{ aMessage });
+}
+
 void
 VoterWorld::RestartAll(Duration aDownTime)
 {
   for (auto& [id, vm] : vms_) {
+    if (vm.removed_) {
+      continue;
+    }
     Kill(id);
     ScheduleAt(now_ + aDownTime + RandomDuration(0ms, 300ms),
                [this, id = id] { Start(id); });
@@ -458,7 +517,7 @@
 {
   ScheduleAt(now_ + RandomDuration(20ms, 300ms), [this] { RunOperator(); });
   Vm& vm = vms_.at(ChooseRandomVm(true));
-  if (!vm.up_ || now_ < vm.frozenUntil_) {
+  if (operatorStopped_ || !vm.up_ || now_ < vm.frozenUntil_) {
     return;
   }
   const std::uint64_t id = nextOperatorCall_++;
@@ -482,6 +541,9 @@
 VoterWorld::CheckEveryNodeReads()
 {
   for (auto& [id, vm] : vms_) {
+    if (vm.removed_) {
+      continue;
+    }
     const std::size_t readsBefore = readCount_;
     const std::uint64_t call = nextOperatorCall_++;
     readMinVersions_[call] = highestStored_;
@@ -505,7 +567,7 @@
     const bool isCaughtUp =
       vm.up_ && !isolated_.contains(id) &&
       now_ - std::max(vm.upSince_, vm.frozenUntil_) >= kCatchUpTime;
-    return !vm.hasDataFolder_ || id == aVm || isCaughtUp;
+    return !vm.hasDataFolder_ || vm.removed_ || id == aVm || isCaughtUp;
   });
 }
 
@@ -535,15 +597,7 @@
   } else if (kind < 8) {
     vms_.at(id).frozenUntil_ = now_ + RandomDuration(50ms, 3s);
   } else {
-    isolated_.insert(id); // from all others
-    ScheduleAt(now_ + RandomDuration(100ms, 4s), [this, id] {
-      isolated_.erase(id);
-      vms_.at(id).upSince_ = now_;
-      for (const auto& [other, vm] : vms_) {
-        DeliverQueued({ id, other });
-        DeliverQueued({ other, id });
-      }
-    });
+    IsolateFor(id, RandomDuration(100ms, 4s));
   }
 }
 
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -38,6 +38,9 @@
 
   using Timeline::Run;
   void StopFaults() { injectsFaults_ = false; }
+  void StopOperator() { operatorStopped_ = true; }
+  // The clocks of VMs that start later are set back by this time.
+  void SetClocksBack(Duration aTime) { clockSetBack_ = aTime; }
 
   void Kill(const VmId& aVm);
   void Start(const VmId& aVm);
@@ -46,6 +49,22 @@
   // Kills all VMs, and starts each one again after `aDownTime` and up to
   // 300 ms more.
   void RestartAll(Duration aDownTime);
+  // Starts a new VM with an empty data folder.
+  void AddVm(const VmId& aVm, const ZoneId& aZone);
+  // The VM is gone for good, with its disk.
+  void Remove(const VmId& aVm);
+  // Keeps all others from reaching the VM for a while.
+  void IsolateFor(const VmId& aVm, Duration aTime);
+  // The VM that leads and holds the lease; empty: none does.
+  VmId LeaderVm() const;
+  ZoneId ZoneOf(const VmId& aVm) const { return vms_.at(aVm).info_.zone(); }
+  bool IsUp(const VmId& aVm) const { return vms_.at(aVm).up_; }
+  const Raft& Consensus(const VmId& aVm) const
+  {
+    return *vms_.at(aVm).node_->Consensus();
+  }
+  // Delivers a message at once, as a link does that has kept it.
+  void DeliverLate(wire::ControlMessage aMessage);
   // VMs that start later are given no seeds.
   void OmitSeeds() { givesSeeds_ = false; }
 
@@ -107,7 +126,9 @@
     wire::Vm info_;
     bool hasDataFolder_ = false; // true: it is to become a voter
     bool isSeed_ = false;
+    bool isFounder_ = true; // it may found the control state at its first start
     bool up_ = false;
+    bool removed_ = false; // it will not come back
     Time frozenUntil_;
     std::uint64_t startCount_ = 0;
     std::uint64_t diskNumber_ = 0; // 0: it has no disk yet
@@ -134,6 +155,7 @@
   void Deliver(const VmId& aTo, Time aTime, wire::ControlMessage aMessage);
   bool CanReach(const VmId& aFrom, const VmId& aTo) const;
   void TickNode(const VmId& aVm, std::uint64_t aStartCount);
+  void EndIsolation(const VmId& aVm);
   void SendLeaseRequests(const VmId& aVm, std::uint64_t aStartCount);
   void RunOperator();
   void InjectFault();
@@ -148,6 +170,8 @@
   std::map<LinkKey, MessageQueue> links_;
   std::set<VmId> isolated_;
   bool injectsFaults_ = true;
+  bool operatorStopped_ = false;
+  Duration clockSetBack_{};
   bool givesSeeds_ = true;
   std::uint64_t nextVersion_ = 1;
   std::uint64_t nextOperatorCall_ = 1;
--- /dev/null
+++ b/tests/replacement_test.cpp
@@ -0,0 +1,220 @@
+// Changes of the voters: control VMs are replaced by others at new addresses.
+
+#include "control/VoterPlan.h"
+#include "tests/VoterWorld.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace jaydoor::tests {
+namespace {
+
+// A VM counts as lost for this long after its start.
+constexpr Duration kCatchUpTime = 4s;
+
+bool
+Contains(const std::vector<VmId>& aVms, const VmId& aVm)
+{
+  return std::find(aVms.begin(), aVms.end(), aVm) != aVms.end();
+}
+
+// A voter that does not lead.
+VmId
+FindFollower(const VoterWorld& aWorld)
+{
+  const VmId leader = aWorld.LeaderVm();
+  for (const auto& vm : aWorld.ListVoters()) {
+    if (vm != leader && aWorld.IsUp(vm)) {
+      return vm;
+    }
+  }
+  return {};
+}
+
+void
+CheckReads(VoterWorld& aWorld)
+{
+  aWorld.CheckEveryNodeReads();
+  for (const auto& failure : aWorld.Failures()) {
+    UNSCOPED_INFO(failure);
+  }
+  CHECK(aWorld.Failures().empty());
+}
+
+} // namespace
+
+// Guards against a vote that a gone VM keeps when the leader changes: the next
+// loss took the quorum for good.
+TEST_CASE("A voter that is gone is replaced, whoever leads")
+{
+  const auto seed = GENERATE(range(1U, 6U));
+  VoterWorld world(seed);
+  world.StopFaults();
+  world.Run(8s);
+  const VmId gone = FindFollower(world);
+  const VmId successor = "10.0.0.9";
+  INFO("seed " << seed);
+
+  SECTION("the next leader has never seen the VM live")
+  {
+    world.Remove(gone);
+    world.Run(1s);
+    world.AddVm(successor, world.ZoneOf(gone));
+    world.Run(500ms);
+    const VmId leader = world.LeaderVm();
+    REQUIRE_FALSE(leader.empty());
+    world.Kill(leader);
+    world.Start(leader);
+    world.Run(kCatchUpTime);
+  }
+
+  SECTION("no leader stays for long")
+  {
+    world.Remove(gone);
+    world.Run(1s);
+    world.AddVm(successor, world.ZoneOf(gone));
+    for (int i = 0; i < 2; i++) {
+      world.Run(1500ms);
+      if (const VmId leader = world.LeaderVm(); !leader.empty()) {
+        world.IsolateFor(leader, 500ms);
+      }
+    }
+    world.Run(kCatchUpTime - 3s);
+  }
+
+  SECTION("the successor has run for long")
+  {
+    world.AddVm(successor, world.ZoneOf(gone));
+    world.Run(kCatchUpTime);
+    world.Remove(gone);
+    world.Run(3s);
+  }
+
+  SECTION("the successor is in another availability zone")
+  {
+    world.Remove(gone);
+    world.Run(1s);
+    world.AddVm(successor, world.ZoneOf(world.LeaderVm()));
+    world.Run(kCatchUpTime);
+  }
+
+  const auto voters = world.ListVoters();
+  CHECK(voters.size() == 3);
+  CHECK(Contains(voters, successor));
+  CHECK_FALSE(Contains(voters, gone));
+  world.Remove(FindFollower(world)); // the next loss
+  world.Run(5s);
+  CheckReads(world);
+}
+
+// Guards against a set of four voters, of which a gone one and a lost one are
+// half, while a voter is replaced.
+TEST_CASE("The successor loses its disk while it takes over the vote")
+{
+  for (std::uint64_t seed = 1; seed <= 10; seed++) {
+    VoterWorld world(seed);
+    world.StopFaults();
+    world.Run(8s);
+    const VmId gone = FindFollower(world);
+    const VmId successor = "10.0.0.9";
+    world.Remove(gone);
+    world.Run(1s);
+    world.AddVm(successor, world.ZoneOf(gone));
+    bool lost = false;
+    world.SetObserver([&](const auto&, const auto&, const auto& aMessage) {
+      for (const auto& entry : aMessage.append().entries()) {
+        const auto& voters = entry.voters().voters();
+        const bool votes =
+          std::any_of(voters.begin(), voters.end(), [&](const auto& aVoter) {
+            return VmOfVoter(aVoter) == successor;
+          });
+        if (votes && !lost) {
+          lost = true;
+          world.Kill(successor);
+          world.WipeDisk(successor);
+        }
+      }
+    });
+    world.Run(10s);
+    INFO("seed " << seed);
+    CHECK(lost);
+    world.Start(successor);
+    world.Run(kCatchUpTime);
+    CheckReads(world);
+  }
+}
+
+TEST_CASE("The next change of the voters")
+{
+  using Voters = std::vector<VoterStatus>;
+  constexpr auto kNone = VoterFault::None;
+  const Voters voters{ { "a/1", "a", kNone },
+                       { "b/1", "b", kNone },
+                       { "c/1", "c", kNone } };
+
+  SECTION("none while all voters are well and spread over the zones")
+  {
+    CHECK_FALSE(
+      PlanVoterChange(voters, Voters{ { "d/1", "a", kNone } }, 3, "a/1"));
+  }
+
+  SECTION("the worst fault first, by a learner in the emptiest zone")
+  {
+    Voters faulty = voters;
+    faulty[1].fault_ = VoterFault::Leaving;
+    faulty[2].fault_ = VoterFault::Gone;
+    const Voters learners{ { "d/1", "a", kNone }, { "e/1", "c", kNone } };
+    const auto change = PlanVoterChange(faulty, learners, 3, "a/1");
+    REQUIRE(change);
+    CHECK(change->removed_ == "c/1");
+    CHECK(change->added_ == "e/1");
+  }
+
+  SECTION("also by a learner in another zone, or in an unknown one")
+  {
+    Voters faulty = voters;
+    faulty[1] = { "b/1", "", VoterFault::Gone };
+    for (const char* zone : { "a", "c", "" }) {
+      const Voters learners{ { "d/1", zone, kNone } };
+      CHECK(PlanVoterChange(faulty, learners, 3, "a/1"));
+    }
+  }
+
+  SECTION("voters are added only while none of the present ones is faulty")
+  {
+    const Voters learners{ { "d/1", "a", kNone } };
+    auto change = PlanVoterChange(voters, learners, 5, "a/1");
+    REQUIRE(change);
+    CHECK(change->removed_.empty());
+    Voters faulty = voters;
+    faulty[2].fault_ = VoterFault::DiskLost;
+    change = PlanVoterChange(faulty, learners, 5, "a/1");
+    REQUIRE(change);
+    CHECK(change->removed_ == "c/1");
+  }
+
+  SECTION("a voter of a crowded zone gives way to a learner in another one")
+  {
+    const Voters crowded{ { "a/1", "a", kNone },
+                          { "b/1", "a", kNone },
+                          { "c/1", "c", kNone } };
+    const auto change =
+      PlanVoterChange(crowded, Voters{ { "d/1", "b", kNone } }, 3, "a/1");
+    REQUIRE(change);
+    CHECK(change->removed_ == "b/1");
+    CHECK_FALSE(
+      PlanVoterChange(crowded, Voters{ { "d/1", "c", kNone } }, 3, "a/1"));
+  }
+
+  SECTION("the leader stays")
+  {
+    Voters faulty = voters;
+    faulty[0].fault_ = VoterFault::Leaving;
+    CHECK_FALSE(
+      PlanVoterChange(faulty, Voters{ { "d/1", "a", kNone } }, 3, "a/1"));
+  }
+}
+
+} // namespace jaydoor::tests
