Control: a VM that leaves hands its vote and its leadership on before it stops

Cause: SIGTERM ended the process at once, and that a VM leaves played no part in the choice of voters. Its vote was replaced only once it counted as gone, 4 s later.

Change: a leaving voter is replaced while it runs, and the process waits for this, at most for the grace period, if a learner can take over. A leaving leader transfers its leadership first.

Before: replacement_test, "A control VM that leaves" (20 of 20 combinations) and "A leader that leaves" failed.

--- a/control/ControlNode.cpp
+++ b/control/ControlNode.cpp
@@ -223,6 +223,17 @@
   }
 }
 
+// Describes this VM to the voters, so that they need not wait for news of it.
+void
+ControlNode::DescribeToVoters(ControlActions& aOut)
+{
+  std::vector<SendToVm> messages;
+  for (const auto& vm : ListVoterVms()) {
+    membership_.SendDescription(vm, messages);
+  }
+  SendMembershipMessages(std::move(messages), aOut);
+}
+
 void
 ControlNode::PerformRaftActions(RaftActions aActions, ControlActions& aOut)
 {
--- a/control/ControlNode.h
+++ b/control/ControlNode.h
@@ -269,6 +269,9 @@
   bool IsStateProven() const { return stateProven_; }
   // The VM that leads as far as this one knows; empty: none is known.
   VmId LeaderVm() const;
+  // True if this VM, which leaves, should run on for a while: it votes, and
+  // another voter can take over its leadership, or a learner its vote.
+  bool IsNeededAsVoter() const;
   // The live VMs, this one included.
   std::vector<VmView> ListVms() const;
   const ControlCounters& Counters() const { return counters_; }
@@ -351,6 +354,7 @@
   void SendMembershipMessages(std::vector<SendToVm> aMessages,
                               ControlActions& aOut);
   void SendToVoters(const wire::ControlMessage& aMessage, ControlActions& aOut);
+  void DescribeToVoters(ControlActions& aOut);
   void SendToLeader(const wire::ControlMessage& aMessage, ControlActions& aOut);
   void PerformRaftActions(RaftActions aActions, ControlActions& aOut);
   void Propose(const wire::Change& aChange, Time aNow, ControlActions& aOut);
@@ -361,7 +365,9 @@
                       ControlActions& aOut);
   void ProposeLearner(const VoterId& aVoter, Time aNow, ControlActions& aOut);
   void TickVoterSet(Time aNow, ControlActions& aOut);
+  void TickLeaving(Time aNow, ControlActions& aOut);
   void RecordVotersSeen(Time aNow);
+  bool IsLeaving() const;
   bool IsUsable(const VoterId& aVoter) const;
   VoterStatus FindVoterStatus(const VoterId& aVoter, Time aNow) const;
   void ProposeVoters(wire::VoterSet aNext, Time aNow, ControlActions& aOut);
@@ -467,6 +473,7 @@
   // that the next leader need not wait anew.
   std::map<VoterId, Time> voterSeenAt_;
   std::map<VoterId, VoterFault> loggedFaults_; // in this leadership
+  Time nextDescriptionAt_;                     // while this voter leaves
   VoterId leaderHint_; // last leader named by another VM
   // The state is proven once this index is applied.
   std::optional<std::uint64_t> proofIndex_;
--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -26,6 +26,8 @@
 // A voter that has not been live for this long is replaced. A process that was
 // only restarted is back earlier.
 constexpr Duration kVoterGoneDelay = 1s;
+// A voter that leaves repeats this to the other voters.
+constexpr Duration kDescriptionInterval = 100ms;
 // A learner that is gone for this long is removed.
 constexpr Duration kLearnerTimeout = 30s;
 // Log entries that are kept after the index of a snapshot.
@@ -49,10 +51,12 @@
   if (!raft_->IsBlank()) {
     // The others may have removed this voter while it was away.
     if (aNow - std::max(startedAt_, raft_->LeaderHeardAt()) >= kRejoinDelay) {
+      DescribeToVoters(aOut);
       SendToVoters(message, aOut);
     }
     return;
   }
+  DescribeToVoters(aOut);
   SendToVoters(message, aOut);
   if (!config_.mayFoundFleet_) {
     return;
@@ -171,6 +175,7 @@
   }
   RecordVotersSeen(aNow);
   TickVoterSet(aNow, aOut);
+  TickLeaving(aNow, aOut);
   TickCompaction(aNow, aOut);
 }
 
@@ -217,12 +222,15 @@
     status.fault_ = VoterFault::DiskLost;
   } else if (aNow - voterSeenAt_.at(aVoter) >= kVoterGoneDelay) {
     status.fault_ = VoterFault::Gone;
+  } else if (vm != nullptr && vm->leaving()) {
+    status.fault_ = VoterFault::Leaving;
   }
   return status;
 }
 
-// Brings the set of voters closer to the target, by one change at a time.
-// Learners that are gone are removed.
+// Brings the set of voters closer to the target, by one change at a time. A
+// leader that leaves has its successor do so. Learners that are gone are
+// removed.
 void
 ControlNode::TickVoterSet(Time aNow, ControlActions& aOut)
 {
@@ -231,9 +239,13 @@
   }
   const wire::VoterSet& set = raft_->Voters();
   std::vector<VoterStatus> voters;
+  std::vector<VoterId> successors;
   for (const auto& id : set.voters()) {
     voters.push_back(FindVoterStatus(id, aNow));
     const VoterStatus& voter = voters.back();
+    if (voter.fault_ == VoterFault::None) {
+      successors.push_back(id);
+    }
     VoterFault& logged = loggedFaults_[id];
     if (voter.fault_ > logged) {
       aOut.push_back(LogControlEvent{
@@ -246,6 +258,12 @@
     }
     logged = voter.fault_;
   }
+  if (IsLeaving()) {
+    RaftActions actions;
+    raft_->TransferLeadership(successors, aNow, actions);
+    PerformRaftActions(std::move(actions), aOut);
+    return;
+  }
   if (!raft_->CanChangeVoters()) {
     return;
   }
@@ -324,6 +342,46 @@
   PerformRaftActions(std::move(actions), aOut);
 }
 
+// ---- Leaving
+
+bool
+ControlNode::IsLeaving() const
+{
+  return membership_.Find(config_.self_.id())->leaving();
+}
+
+// Tells the voters that this one leaves. Whichever of them leads replaces it.
+void
+ControlNode::TickLeaving(Time aNow, ControlActions& aOut)
+{
+  if (IsLeaving() && raft_->IsVoter(raft_->Self()) &&
+      aNow >= nextDescriptionAt_) {
+    nextDescriptionAt_ = aNow + kDescriptionInterval;
+    DescribeToVoters(aOut);
+  }
+}
+
+bool
+ControlNode::IsNeededAsVoter() const
+{
+  if (!raft_ || raft_->IsBlank()) {
+    return false;
+  }
+  const wire::VoterSet& set = raft_->Voters();
+  const auto canTakeOver = [&](const VoterId& aId) {
+    return aId != raft_->Self() && IsUsable(aId) &&
+           !membership_.Find(VmOfVoter(aId))->leaving();
+  };
+  const bool votes =
+    raft_->IsVoter(raft_->Self()) || !raft_->AreVotersCommitted();
+  const bool leads =
+    raft_->IsLeader() &&
+    std::any_of(set.voters().begin(), set.voters().end(), canTakeOver);
+  return votes && (leads || std::any_of(set.learners().begin(),
+                                        set.learners().end(),
+                                        canTakeOver));
+}
+
 // Takes a snapshot every kChangesPerSnapshot changes, and compacts the log up
 // to it once kEntriesAfterSnapshot more changes are applied, so that followers
 // that are only slightly behind still find the entries that they need in the
--- a/daemon/ControlShell.cpp
+++ b/daemon/ControlShell.cpp
@@ -158,6 +158,7 @@
   void Tick()
   {
     Step(ControlTick{});
+    StopIfUnneeded();
     FlushLog();
     const Time now = ReadClock();
     wakeTimer_.expires_after(node_->NextWake(now) - now);
@@ -530,6 +531,13 @@
     return text;
   }
 
+  void StopIfUnneeded()
+  {
+    if (stopsWhenUnneeded_ && !node_->IsNeededAsVoter()) {
+      context_.stop();
+    }
+  }
+
   void SetDraining(bool aOn)
   {
     Step(LeavingChanged{ aOn });
@@ -550,6 +558,8 @@
   std::map<std::uint64_t, PendingReplyPtr> pendingReplies_;
   std::map<std::uint64_t, PendingAnswerPtr> pendingAnswers_;
   std::uint64_t nextOperatorCall_ = 1;
+  // Set once this VM leaves and no work is in flight.
+  bool stopsWhenUnneeded_ = false;
   std::set<VmId> addressedVms_; // if ids are hosts: VMs sent to so far
 };
 
@@ -673,7 +683,12 @@
     auto limit = std::make_shared<asio::steady_timer>(impl_->context_);
     limit->expires_after(impl_->settings_.drainLimit_);
     limit->async_wait([this, limit](boost::system::error_code) { Stop(); });
-    impl_->traffic_.notifyWhenIdle_([this] { Stop(); });
+    impl_->traffic_.notifyWhenIdle_([this] {
+      asio::post(impl_->context_, [this] {
+        impl_->stopsWhenUnneeded_ = true;
+        impl_->StopIfUnneeded();
+      });
+    });
   });
 }
 
--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -16,6 +16,9 @@
 // Time that a VM is given to catch up after a start, a freeze or an isolation.
 constexpr Duration kCatchUpTime = 4s;
 
+// Time after which a VM that was asked to stop is killed.
+constexpr Duration kStopLimit = 5s;
+
 constexpr Duration kLeaseRequestInterval = 400ms;
 constexpr const char* kZones[] = { "zone-a", "zone-b", "zone-c" };
 
@@ -274,6 +277,28 @@
   vms_.at(aVm).removed_ = true;
 }
 
+void
+VoterWorld::Leave(const VmId& aVm)
+{
+  StepNode(vms_.at(aVm), LeavingChanged{ true });
+  AwaitStop(aVm, now_ + kStopLimit);
+}
+
+// As the daemon does, checks at each tick whether the VM may stop.
+void
+VoterWorld::AwaitStop(const VmId& aVm, Time aUntil)
+{
+  const Vm& vm = vms_.at(aVm);
+  if (!vm.up_) {
+    return;
+  }
+  if (now_ >= aUntil || !vm.node_->IsNeededAsVoter()) {
+    Remove(aVm);
+    return;
+  }
+  ScheduleAt(now_ + 15ms, [this, aVm, aUntil] { AwaitStop(aVm, aUntil); });
+}
+
 void
 VoterWorld::IsolateFor(const VmId& aVm, Duration aTime)
 {
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -53,6 +53,8 @@
   void AddVm(const VmId& aVm, const ZoneId& aZone);
   // The VM is gone for good, with its disk.
   void Remove(const VmId& aVm);
+  // The VM leaves for good: it is asked to stop, and is removed once it does.
+  void Leave(const VmId& aVm);
   // Keeps all others from reaching the VM for a while.
   void IsolateFor(const VmId& aVm, Duration aTime);
   // The VM that leads and holds the lease; empty: none does.
@@ -155,6 +157,7 @@
   void Deliver(const VmId& aTo, Time aTime, wire::ControlMessage aMessage);
   bool CanReach(const VmId& aFrom, const VmId& aTo) const;
   void TickNode(const VmId& aVm, std::uint64_t aStartCount);
+  void AwaitStop(const VmId& aVm, Time aUntil);
   void EndIsolation(const VmId& aVm);
   void SendLeaseRequests(const VmId& aVm, std::uint64_t aStartCount);
   void RunOperator();
--- a/tests/replacement_test.cpp
+++ b/tests/replacement_test.cpp
@@ -109,6 +109,90 @@
   CheckReads(world);
 }
 
+// Guards against a quorum that is lost when control VMs are stopped one after
+// the other, although their successors are ready.
+TEST_CASE("A control VM that leaves hands its vote on before it stops")
+{
+  const auto seed = GENERATE(range(1U, 6U));
+  VoterWorld world(seed);
+  world.StopFaults();
+  world.Run(8s);
+  const VmId leader = world.LeaderVm();
+  const VmId follower = FindFollower(world);
+  REQUIRE_FALSE(leader.empty());
+  INFO("seed " << seed);
+
+  SECTION("two VMs leave one after the other")
+  {
+    world.AddVm("10.0.0.8", world.ZoneOf(follower));
+    world.AddVm("10.0.0.9", world.ZoneOf(leader));
+    world.Run(kCatchUpTime);
+    world.Leave(follower);
+    world.Run(1s);
+    CHECK_FALSE(world.IsUp(follower));
+    world.Leave(leader);
+    world.Run(1s);
+    CHECK_FALSE(world.IsUp(leader));
+  }
+
+  SECTION("two VMs leave at the same time")
+  {
+    world.AddVm("10.0.0.8", world.ZoneOf(follower));
+    world.AddVm("10.0.0.9", world.ZoneOf(leader));
+    world.Run(kCatchUpTime);
+    world.Leave(leader);
+    world.Leave(follower);
+    world.Run(1s);
+    CHECK_FALSE(world.IsUp(follower));
+    CHECK_FALSE(world.IsUp(leader));
+  }
+
+  SECTION("the successors are in other availability zones")
+  {
+    world.AddVm("10.0.0.8", world.ZoneOf(leader));
+    world.AddVm("10.0.0.9", world.ZoneOf(leader));
+    world.Run(kCatchUpTime);
+    world.Leave(follower);
+    world.Run(1s);
+    world.Leave(leader);
+    world.Run(1s);
+  }
+
+  SECTION("the successor comes after the VM has stopped")
+  {
+    world.Leave(follower);
+    world.Run(200ms);
+    CHECK_FALSE(world.IsUp(follower)); // nothing to wait for
+    world.AddVm("10.0.0.8", world.ZoneOf(follower));
+    world.Run(1s);
+    world.AddVm("10.0.0.9", world.ZoneOf(leader));
+    world.Run(kCatchUpTime);
+    world.Leave(leader);
+    world.Run(1s);
+    CHECK_FALSE(world.IsUp(leader));
+  }
+
+  const auto voters = world.ListVoters();
+  CHECK(voters.size() == 3);
+  CHECK_FALSE(Contains(voters, leader));
+  CHECK_FALSE(Contains(voters, follower));
+  CheckReads(world);
+}
+
+// Guards against a pause in which nothing is decided while a leader that was
+// asked to stop is missed.
+TEST_CASE("A leader that leaves hands its leadership on")
+{
+  VoterWorld world(1);
+  world.StopFaults();
+  world.Run(8s);
+  const VmId leader = world.LeaderVm();
+  world.Leave(leader);
+  world.Run(100ms);
+  CHECK_FALSE(world.IsUp(leader));
+  CHECK_FALSE(world.LeaderVm().empty());
+}
+
 // Guards against a set of four voters, of which a gone one and a lost one are
 // half, while a voter is replaced.
 TEST_CASE("The successor loses its disk while it takes over the vote")
