Control: a learner that is gone does not become a voter

Callers would see no configuration, for good, after a voter and a learner were gone at the same time: the learner counted as ready, since it had the last committed entry, and became the fourth voter, of which two were gone.

--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -254,7 +254,7 @@
                     id,
                     ToString(voter.fault_),
                     voter.zone_.empty() ? "-" : voter.zone_,
-                    raft_->ListReadyLearners().size()) });
+                    raft_->ListReadyLearners(aNow).size()) });
     }
     logged = voter.fault_;
   }
@@ -268,9 +268,9 @@
     return;
   }
   std::vector<VoterStatus> ready;
-  for (const auto& id : raft_->ListReadyLearners()) {
+  for (const auto& id : raft_->ListReadyLearners(aNow)) {
     const VoterStatus learner = FindVoterStatus(id, aNow);
-    if (learner.fault_ == VoterFault::None) {
+    if (learner.fault_ == VoterFault::None && IsUsable(id)) {
       ready.push_back(learner);
     }
   }
--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -627,11 +627,12 @@
 }
 
 std::vector<VoterId>
-Raft::ListReadyLearners() const
+Raft::ListReadyLearners(Time aNow) const
 {
   std::vector<VoterId> ready;
   for (const auto& id : voters_.learners()) {
-    if (MatchIndexOf(id) >= commitIndex_ && commitIndex_ > 0) {
+    if (IsReachable(id, aNow) && MatchIndexOf(id) >= commitIndex_ &&
+        commitIndex_ > 0) {
       ready.push_back(id);
     }
   }
--- a/control/Raft.h
+++ b/control/Raft.h
@@ -166,8 +166,8 @@
   bool IsReachable(const VoterId& aId, Time aNow) const;
   // True if this leader has just heard from a quorum of these voters.
   bool ReachesQuorumOf(const wire::VoterSet& aVoters, Time aNow) const;
-  // Learners that have caught up with the commit index.
-  std::vector<VoterId> ListReadyLearners() const;
+  // Learners that are reachable and have caught up with the commit index.
+  std::vector<VoterId> ListReadyLearners(Time aNow) const;
   // Size in bytes of the entries that the snapshot does not contain.
   std::size_t LogBytes() const;
   // True if this is the leader, an entry of its own term is committed, and so
--- a/tests/replacement_test.cpp
+++ b/tests/replacement_test.cpp
@@ -230,6 +230,25 @@
   }
 }
 
+// Guards against a vote for a learner that is gone itself.
+TEST_CASE("A learner that is gone does not replace a voter")
+{
+  VoterWorld world(1);
+  world.StopFaults();
+  world.Run(8s);
+  const VmId gone = FindFollower(world);
+  const VmId learner = "10.0.0.9";
+  world.AddVm(learner, world.ZoneOf(gone));
+  world.Run(kCatchUpTime);
+  world.StopOperator(); // no change shows that the learner is behind
+  world.Run(1s);
+  world.Remove(learner);
+  world.Remove(gone);
+  world.Run(25s);
+  CHECK_FALSE(Contains(world.ListVoters(), learner));
+  CheckReads(world);
+}
+
 TEST_CASE("The next change of the voters")
 {
   using Voters = std::vector<VoterStatus>;
