Raft: a voter that has missed a change of the voters elects the new voter

Callers would see no leader although two of three voters run, one of them new and the other one behind by the last change: it refused its vote to a candidate that its log does not name. If the third voter's disk is lost, that is for good. The candidate counts the votes of the voters that it knows; a voter has to look at terms and logs only.

Before: control_test, "A voter that has missed a change", found no leader in 4 s; after: the new voter leads.

--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -354,7 +354,9 @@
     role_ == Role::Leader
       ? HasLease(aNow)
       : !electionTimerStarted_ || (aNow < stickyUntil_ && !isFree);
-  const bool canVote = IsVoter(self_) && IsVoter(aFrom) && !mustRefuse;
+  // The log of this voter may lack the change by which it or the candidate
+  // became a voter. The candidate counts the votes of the voters that it knows.
+  const bool canVote = !mustRefuse;
   auto message = MakeMessage(aFrom);
   auto& reply = *message.mutable_vote_reply();
   reply.set_pre(aRequest.pre());
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -621,6 +621,35 @@
   }
 }
 
+// Guards against a quorum that is not used: a voter that had missed the last
+// change refused its vote to the new voter.
+TEST_CASE("A voter that has missed a change of the voters elects the new one")
+{
+  Voters voters;
+  voters.rafts_.clear();
+  wire::VoterSet after;
+  for (const char* id : { "b/1", "c/1", "d/1" }) {
+    after.add_voters(id);
+  }
+  wire::VoterSet during = after;
+  *during.mutable_outgoing() = voters.disks_["a/1"].snapshot_.voters().voters();
+  RaftDisk& newVoter = voters.disks_["d/1"];
+  newVoter = voters.disks_["b/1"];
+  for (const auto& set : { during, after }) {
+    wire::Change& entry = newVoter.entries_.emplace_back();
+    entry.set_index(newVoter.entries_.size());
+    entry.set_term(1);
+    *entry.mutable_voters() = set;
+  }
+  voters.Start("b/1");
+  voters.Start("d/1");
+  voters.AwaitLeader(4s);
+  REQUIRE(voters.Leader() != nullptr);
+  CHECK(voters.Leader()->Self() == "d/1");
+  CHECK(voters.rafts_["b/1"]->Voters().SerializeAsString() ==
+        after.SerializeAsString());
+}
+
 TEST_CASE("A change of the voters is completed by the next leader")
 {
   Voters voters;
