Control: a late message of a lost disk does not take the vote of its successor

Callers would see one voter fewer until the VM is admitted again: a message that a link had kept from before the disk was lost was taken for a new disk of the VM, and the present one lost its vote. Now only the disk that the VM itself names in the membership is admitted.

--- a/control/ControlNodeVoting.cpp
+++ b/control/ControlNodeVoting.cpp
@@ -124,7 +124,8 @@
   ProposeLearner(voter, aNow, aOut);
 }
 
-// Proposes an unknown disk as a learner.
+// Proposes an unknown disk as a learner, unless it is a former disk of its VM,
+// whose messages may arrive late.
 void
 ControlNode::ProposeLearner(const VoterId& aVoter,
                             Time aNow,
@@ -134,7 +135,9 @@
   auto& learners = *next.mutable_learners();
   const bool known =
     std::find(learners.begin(), learners.end(), aVoter) != learners.end();
-  if (known || !CanDecideAsLeader(aNow) ||
+  const wire::Vm* vm = membership_.Find(VmOfVoter(aVoter));
+  const bool isFormerDisk = vm != nullptr && vm->voter() != aVoter;
+  if (known || isFormerDisk || !CanDecideAsLeader(aNow) ||
       !raft_->CanChangeVoters()) {
     return;
   }
--- a/tests/replacement_test.cpp
+++ b/tests/replacement_test.cpp
@@ -249,6 +249,49 @@
   CheckReads(world);
 }
 
+// Guards against a message of a lost disk that arrives late and takes the vote
+// of the disk that replaced it.
+TEST_CASE("A late message of a disk that was lost changes no voters")
+{
+  VoterWorld world(1);
+  world.StopFaults();
+  world.Run(8s);
+  const VmId vm = FindFollower(world);
+  const VoterId formerDisk = world.Consensus(vm).Self();
+  world.Kill(vm);
+  world.WipeDisk(vm);
+  world.Run(1s);
+  world.Start(vm);
+  world.Run(kCatchUpTime);
+  const VmId leader = world.LeaderVm();
+  const std::string before =
+    world.Consensus(leader).Voters().SerializeAsString();
+  wire::ControlMessage message;
+  message.set_from(vm);
+  message.set_to(leader);
+  message.set_from_voter(formerDisk);
+  message.mutable_founding()->set_blank(true);
+  world.DeliverLate(message);
+  world.Run(1s);
+  CHECK(world.Consensus(leader).Voters().SerializeAsString() == before);
+  CHECK(Contains(world.ListVoters(), vm));
+}
+
+TEST_CASE("A VM that lost its disk votes again, although its clock went back")
+{
+  VoterWorld world(1);
+  world.StopFaults();
+  world.Run(8s);
+  const VmId vm = FindFollower(world);
+  world.Kill(vm);
+  world.WipeDisk(vm);
+  world.SetClocksBack(60s);
+  world.Start(vm);
+  world.Run(kCatchUpTime);
+  CHECK(world.Consensus(vm).IsVoter(world.Consensus(vm).Self()));
+  CheckReads(world);
+}
+
 TEST_CASE("The next change of the voters")
 {
   using Voters = std::vector<VoterStatus>;
