--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -275,6 +275,31 @@
     CHECK(IsDone(caller.Query("READ log")));
   }
 
+  // Guards against a quorum that is lost when control VMs are stopped one after
+  // the other, although their successors are ready.
+  SECTION("control VMs that are stopped as planned leave the quorum behind")
+  {
+    for (const char* successor : { "control-4", "control-5" }) {
+      deployment.Start(successor, false);
+    }
+    for (int control = 4; control <= 5; control++) {
+      REQUIRE(
+        Await([&] { return deployment.FetchConfig(control).status_ == 200; }));
+    }
+    std::this_thread::sleep_for(2s); // they catch up
+    for (const char* former : { "control-1", "control-2" }) {
+      deployment.GetProcess(former).Signal(SIGTERM);
+      CHECK(deployment.GetProcess(former).WaitForEnd(6s) == 0);
+    }
+    CHECK(Await([&] {
+      return deployment.ReplaceConfig(3, LineDeployment::MakeConfig(9)) == 200;
+    }));
+    CHECK(Await([&] {
+      return deployment.FetchConfig(4).body_ == LineDeployment::MakeConfig(9);
+    }));
+    CHECK(Await([&] { return deployment.WriteItem(1, "later", "1"); }));
+  }
+
   SECTION("the configuration survives the kill of all control VMs and the loss "
           "of one disk")
   {
