--- a/tests/VoterWorld.cpp
+++ b/tests/VoterWorld.cpp
@@ -329,7 +329,7 @@
 }
 
 void
-VoterWorld::DeliverLate(wire::ControlMessage aMessage)
+VoterWorld::DeliverLate(const wire::ControlMessage& aMessage)
 {
   StepNode(vms_.at(aMessage.to()), ControlMessageReceived{ aMessage });
 }
--- a/tests/VoterWorld.h
+++ b/tests/VoterWorld.h
@@ -66,7 +66,7 @@
     return *vms_.at(aVm).node_->Consensus();
   }
   // Delivers a message at once, as a link does that has kept it.
-  void DeliverLate(wire::ControlMessage aMessage);
+  void DeliverLate(const wire::ControlMessage& aMessage);
   // VMs that start later are given no seeds.
   void OmitSeeds() { givesSeeds_ = false; }
 
