Soak: control VMs are replaced, and the configuration is read back at the end

Planned, with the successor first and then SIGTERM, or gone for good with the successor 1 s later, among the other disturbances. At the end each control VM has to return a configuration that is no older than the newest acknowledged one.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -4,18 +4,32 @@
 
 #include <algorithm>
 #include <csignal>
+#include <thread>
 
 #include <fmt/format.h>
 
 namespace jaydoor::soak {
 namespace {
 
-constexpr int kControls = 3;
+constexpr std::size_t kControls = 3;
+// The last one of the first control VMs stays: the settings of all VMs and
+// servers name no others.
+constexpr int kMaxControl = 5;
 constexpr std::size_t kServers = 3;
 constexpr int kMissedProbes = 2;
 constexpr Duration kGrace = 6s; // from SIGTERM to SIGKILL
 constexpr Duration kDrainBound = 7s;
 constexpr Duration kEndTimeout = 5s;
+// A VM counts as lost for this long after its start.
+constexpr Duration kCatchUpTime = 4s;
+constexpr Duration kStep = 100ms;
+
+// The number of "control-4" is 4.
+int
+GetNumber(const std::string& aVm)
+{
+  return std::stoi(aVm.substr(aVm.find('-') + 1));
+}
 
 } // namespace
 
@@ -103,8 +117,8 @@
 Faults::CountUndisturbedControls() const
 {
   std::size_t count = 0;
-  for (int i = 1; i <= kControls; i++) {
-    count += IsUndisturbed(fmt::format("control-{}", i)) ? 1U : 0U;
+  for (const auto& vm : controls_) {
+    count += IsUndisturbed(vm) ? 1U : 0U;
   }
   return count;
 }
@@ -119,7 +133,7 @@
 std::string
 Faults::ChooseControl()
 {
-  return fmt::format("control-{}", random_() % kControls + 1);
+  return controls_[random_() % controls_.size()];
 }
 
 void
@@ -132,7 +146,7 @@
 void
 Faults::Disturb(Time aNow)
 {
-  switch (random_() % 11) {
+  switch (random_() % 12) {
     case 0:
     case 1:
       Kill(ChooseEntry(), aNow, false);
@@ -166,11 +180,11 @@
       }
       break;
     }
+    case 10:
+      ReplaceControl(aNow);
+      break;
     default:
-      counts_["config"]++;
-      deployment_.ReplaceConfig(
-        static_cast<int>(random_() % kControls) + 1,
-        tests::LineDeployment::MakeConfig(++configVersion_));
+      ReplaceConfig();
       SendOddHeartbeat();
       break;
   }
@@ -199,7 +213,7 @@
   }
   // A lost disk counts as lost for a while after its VM is back.
   Plan(aNow + down, [this, aVm] { deployment_.Start(aVm, false); });
-  Plan(aNow + down + 4s, [this, aVm] { disturbed_.erase(aVm); });
+  Plan(aNow + down + kCatchUpTime, [this, aVm] { disturbed_.erase(aVm); });
 }
 
 // SIGTERM; the process is given its grace period, and is started again later.
@@ -249,19 +263,91 @@
     return;
   }
   counts_["kill of all control VMs"]++;
-  for (int i = 1; i <= kControls; i++) {
-    const std::string vm = fmt::format("control-{}", i);
+  for (const auto& vm : controls_) {
     disturbed_.insert(vm);
     deployment_.GetProcess(vm).Signal(SIGKILL);
   }
-  for (int i = 1; i <= kControls; i++) {
-    const std::string vm = fmt::format("control-{}", i);
+  for (const auto& vm : controls_) {
     deployment_.GetProcess(vm).WaitForEnd(kEndTimeout);
     Plan(aNow + std::chrono::milliseconds(random_() % 1000),
          [this, vm] { StartVm(vm); });
   }
 }
 
+// A control VM is gone for good, and another one with an empty disk takes its
+// place: before it is told to stop, or after it was killed.
+void
+Faults::ReplaceControl(Time aNow)
+{
+  const std::size_t place = random_() % (kControls - 1);
+  const bool isPlanned = random_() % 2 == 0;
+  if (lastControl_ == kMaxControl || CountUndisturbedControls() < kControls) {
+    return;
+  }
+  counts_[isPlanned ? "planned replacement" : "replacement"]++;
+  const std::string former = controls_[place];
+  const std::string successor = fmt::format("control-{}", ++lastControl_);
+  controls_[place] = successor;
+  disturbed_.insert(successor);
+  const Time startAt = isPlanned ? aNow : aNow + 1s;
+  Plan(startAt, [this, successor] { deployment_.Start(successor, false); });
+  Plan(startAt + kCatchUpTime,
+       [this, successor] { disturbed_.erase(successor); });
+  if (!isPlanned) {
+    deployment_.GetProcess(former).Signal(SIGKILL);
+    deployment_.GetProcess(former).WaitForEnd(kEndTimeout);
+    return;
+  }
+  const Time stopAt =
+    aNow + kCatchUpTime + std::chrono::milliseconds(random_() % 2000);
+  Plan(stopAt,
+       [this, former] { deployment_.GetProcess(former).Signal(SIGTERM); });
+  Plan(stopAt + kGrace, [this, former, end = stopAt + kGrace] {
+    standin::Process& process = deployment_.GetProcess(former);
+    if (process.WaitForEnd(0s) == -1 && ReadClock() >= end) {
+      history_.RecordFailure(former + " did not stop within its grace period");
+    }
+    process.Signal(SIGKILL);
+    process.WaitForEnd(kEndTimeout);
+  });
+}
+
+void
+Faults::ReplaceConfig()
+{
+  counts_["config"]++;
+  const unsigned status = deployment_.ReplaceConfig(
+    GetNumber(ChooseControl()),
+    tests::LineDeployment::MakeConfig(++configVersion_));
+  if (status == 200) {
+    storedVersion_ = configVersion_;
+  }
+}
+
+void
+Faults::CheckConfig(Duration aLimit)
+{
+  const Time end = ReadClock() + aLimit;
+  for (const auto& vm : controls_) {
+    bool isNewest = false;
+    while (!isNewest && ReadClock() < end) {
+      const HttpCallResult answer = deployment_.FetchConfig(GetNumber(vm));
+      for (int version = storedVersion_; version <= configVersion_; version++) {
+        isNewest = isNewest ||
+                   (answer.status_ == 200 &&
+                    answer.body_ == tests::LineDeployment::MakeConfig(version));
+      }
+      std::this_thread::sleep_for(isNewest ? Duration{} : kStep);
+    }
+    if (!isNewest) {
+      history_.RecordFailure(
+        fmt::format("{} did not return configuration {} or a later one",
+                    vm,
+                    storedVersion_));
+    }
+  }
+}
+
 void
 Faults::CrashServer(Time aNow)
 {
@@ -313,7 +399,7 @@
 void
 Faults::SendOddHeartbeat()
 {
-  const int control = static_cast<int>(random_() % kControls) + 1;
+  const int control = GetNumber(ChooseControl());
   const std::string body = tests::LineDeployment::MakeHeartbeat(
     random_() % 2 == 0 ? "127.0.0.9:70000" : "127.0.0.9:9001",
     random_() % 2 == 0 ? "18446744073709551615" : "1e400");
@@ -334,8 +420,8 @@
       StartVm(aVm);
     }
   };
-  for (int i = 1; i <= kControls; i++) {
-    check(fmt::format("control-{}", i));
+  for (const auto& vm : controls_) {
+    check(vm);
   }
   for (int i = 1; i <= entryVms_; i++) {
     check(fmt::format("entry-{}", i));
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// Disturbs a deployment: signals to its processes, lost disks, servers that
-// crash or leave, changes of the configuration, odd announcements. What happens
+// Disturbs a deployment: signals to its processes, lost disks, control VMs that
+// are replaced, servers that crash or leave, changes of the configuration, odd
+// announcements. What happens
 // and when depends only on the seed; disturbances overlap and come in series.
 
 #include "soak/History.h"
@@ -51,6 +52,9 @@
   void EndAll();
   // Reports processes that have ended by themselves.
   void CheckProcesses();
+  // Checks that each control VM returns a configuration that is no older than
+  // the newest one that was acknowledged.
+  void CheckConfig(Duration aLimit);
   const std::map<std::string, int>& Counts() const { return counts_; }
 
 private:
@@ -66,6 +70,8 @@
   void Stop(const std::string& aVm, Time aNow);
   void Freeze(const std::string& aVm, Time aNow);
   void KillAllControls(Time aNow);
+  void ReplaceControl(Time aNow);
+  void ReplaceConfig();
   void CrashServer(Time aNow);
   void LeaveServer(Time aNow);
   void SendOddHeartbeat();
@@ -79,11 +85,15 @@
   History& history_;
   std::mt19937_64 random_;
   int entryVms_ = 0;
+  // Those that are in use; replaced ones are left out.
+  std::vector<std::string> controls_{ "control-1", "control-2", "control-3" };
+  int lastControl_ = 3; // highest number given so far
   std::deque<Planned> planned_;
   std::set<std::string> disturbed_; // VMs that are down, stopping or frozen
   std::set<std::size_t> disturbedServers_;
   std::optional<Time> nextAt_;
   int configVersion_ = 1;
+  int storedVersion_ = 1;             // newest one that was acknowledged
   std::map<std::string, int> counts_; // disturbances, by kind
 };
 
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -215,6 +215,7 @@
   if (!AwaitService(deployment, aOptions.entryVms_, kRecoveryLimit)) {
     history.RecordFailure("not all VMs served again after the faults");
   }
+  faults.CheckConfig(kRecoveryLimit);
   stop = true;
   for (auto& thread : threads) {
     thread.join();
