--- a/control/Raft.cpp
+++ b/control/Raft.cpp
@@ -350,13 +350,13 @@
   // the leader has given up its lease.
   const bool isFree =
     aRequest.transfer() || (noLeaderSinceStart_ && aRequest.all_fresh());
-  // Whether this voter and the candidate vote is not asked: the log of this one
-  // may lack the change by which they do. The candidate counts the votes of the
-  // voters that it knows.
-  const bool canVote =
+  const bool mustRefuse =
     role_ == Role::Leader
-      ? !HasLease(aNow)
-      : electionTimerStarted_ && (aNow >= stickyUntil_ || isFree);
+      ? HasLease(aNow)
+      : !electionTimerStarted_ || (aNow < stickyUntil_ && !isFree);
+  // The log of this voter may lack the change by which it or the candidate
+  // became a voter. The candidate counts the votes of the voters that it knows.
+  const bool canVote = !mustRefuse;
   auto message = MakeMessage(aFrom);
   auto& reply = *message.mutable_vote_reply();
   reply.set_pre(aRequest.pre());
@@ -660,10 +660,9 @@
 void
 Raft::ProposeVoters(wire::VoterSet aNext, Time aNow, RaftActions& aOut)
 {
-  const bool isSame = std::is_permutation(aNext.voters().begin(),
-                                          aNext.voters().end(),
-                                          voters_.voters().begin(),
-                                          voters_.voters().end());
+  const std::set<VoterId> next(aNext.voters().begin(), aNext.voters().end());
+  const std::vector<VoterId> present = ListVoters();
+  const bool isSame = next == std::set<VoterId>(present.begin(), present.end());
   if (!isSame) {
     *aNext.mutable_outgoing() = voters_.voters();
   }
