Answers of servers are checked against the commands they may belong to, and logged

J427 names an answer that is not known to belong to the oldest command of its link, J428 a server whose bytes are no message, J413 the link and the signature; counters by verdict. Decisions are unchanged: what J427 reports is still taken as before.

--- a/base/Log.cpp
+++ b/base/Log.cpp
@@ -165,6 +165,8 @@
   EventInfo{ Event::ServerOverloaded, Level::Info, "server_overloaded" },
   EventInfo{ Event::ServerRetired, Level::Info, "server_retired" },
   EventInfo{ Event::ServerAvoided, Level::Info, "server_avoided" },
+  EventInfo{ Event::AnswerUnmatched, Level::Warning, "answer_unmatched" },
+  EventInfo{ Event::ServerUnreadable, Level::Warning, "server_unreadable" },
   EventInfo{ Event::AnnounceRefused, Level::Warning, "announce_refused" },
   EventInfo{ Event::AnnounceUnrecorded, Level::Warning, "announce_unrecorded" },
   EventInfo{ Event::LinesDropped, Level::Warning, "lines_dropped" },
--- a/base/Log.h
+++ b/base/Log.h
@@ -92,6 +92,8 @@
   ServerOverloaded = 424,
   ServerRetired = 425,
   ServerAvoided = 426,
+  AnswerUnmatched = 427,
+  ServerUnreadable = 428,
   AnnounceRefused = 430,
   AnnounceUnrecorded = 431,
   LinesDropped = 440,
--- a/daemon/GatewayMetrics.cpp
+++ b/daemon/GatewayMetrics.cpp
@@ -135,6 +135,16 @@
                  static_cast<double>(count));
   }
   AppendLimitUsage(text, aGateway.Limiter());
+  for (const auto& [verdict, count] :
+       { std::pair{ AnswerVerdict::Repeated, counters.answersRepeated_ },
+         std::pair{ AnswerVerdict::Ambiguous, counters.answersAmbiguous_ },
+         std::pair{ AnswerVerdict::Unexpected,
+                    counters.answersUnexpected_ } }) {
+    AppendMetric(text,
+                 "jaydoor_answers_unmatched_total",
+                 fmt::format(R"(verdict="{}")", GetVerdictName(verdict)),
+                 static_cast<double>(count));
+  }
   add("jaydoor_statements_retried_total", counters.retried_);
   add("jaydoor_statements_hedged_total", counters.hedged_);
   add("jaydoor_statements_in_doubt_total", counters.inDoubt_);
--- a/daemon/SessionShell.h
+++ b/daemon/SessionShell.h
@@ -916,6 +916,7 @@
                            ServerMessage aMessage)
   {
     if (aMessage.kind_ == ServerMessage::Kind::Unreadable) {
+      LogEvent(Event::ServerUnreadable, "link={}", aId);
       HandleServerLost(aId);
     } else if (aServer.opened_) {
       Step(ServerLinkAnswered{ aId, std::move(aMessage.answer_) });
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -32,6 +32,7 @@
 
 #include "control/FleetView.h"
 #include "control/LeaseTable.h"
+#include "gateway/AnswerMatcher.h"
 #include "gateway/Catalog.h"
 #include "gateway/Explanation.h"
 #include "gateway/FairOrder.h"
@@ -92,7 +93,7 @@
   std::optional<SessionError> error_; // the server's reason, if it gave one
 };
 
-// A server has answered the oldest unanswered command of the link.
+// A server has sent an answer on the link.
 struct ServerLinkAnswered
 {
   ServerLinkId link_ = 0;
@@ -267,6 +268,10 @@
   std::uint64_t linksReplaced_ = 0;
   std::uint64_t serverBusy_ = 0;   // answers with Overloaded
   std::uint64_t serverBehind_ = 0; // answers with Behind
+  // Answers that do not belong to the oldest command of their link, by verdict.
+  std::uint64_t answersRepeated_ = 0;
+  std::uint64_t answersAmbiguous_ = 0;
+  std::uint64_t answersUnexpected_ = 0;
   // Statements sent to a primary, writes included, and to replicas. Of a
   // transaction, only its first statement counts.
   std::uint64_t primaryReads_ = 0;
@@ -446,12 +451,12 @@
     SessionId session_ = 0;
     WorkId work_ = 0;
     std::map<std::string, ValueDigest> values_; // session values set on it
-    std::set<std::string> prepared_;     // prepared statements, by server name
-    std::deque<CommandKind> unanswered_; // commands without an answer
-    ServerCommand nextCommand_;          // sent once all commands are answered
-    bool hasNextCommand_ = false;        // nextCommand_ is set
-    Time openedAt_;                      // opening was requested
-    Time readyAt_;                       // it was open
+    std::set<std::string> prepared_;  // prepared statements, by server name
+    AnswerMatcher answers_;           // to the commands sent on it
+    ServerCommand nextCommand_;       // sent once all commands are answered
+    bool hasNextCommand_ = false;     // nextCommand_ is set
+    Time openedAt_;                   // opening was requested
+    Time readyAt_;                    // it was open
     Time sentAt_;                     // of the first of the unanswered commands
     Time heardAt_;                    // last answer
     std::uint64_t sentLeaseTerm_ = 0; // of the lease held at sentAt_; 0: none
@@ -582,6 +587,10 @@
   void Handle(ServerLinkOpened& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(ServerLinkLost& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(ServerLinkAnswered& aEvent, Time aNow, GatewayActions& aOut);
+  void ReportUnmatched(ServerLinkId,
+                       const ServerAnswer&,
+                       AnswerVerdict,
+                       GatewayActions&);
   void Handle(FleetOrCatalogChanged& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(LeaseGrantReceived& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(LeaseRevocationReceived& aEvent, Time aNow, GatewayActions& aOut);
--- a/gateway/GatewaySending.cpp
+++ b/gateway/GatewaySending.cpp
@@ -60,14 +60,14 @@
                      GatewayActions& aOut)
 {
   Link& link = links_.at(aLink);
-  if (link.unanswered_.empty()) {
+  if (link.answers_.IsIdle()) {
     link.sentAt_ = aNow;
     const Group& group = groups_.at(servers_.at(link.server_).info_.database());
     const bool leased =
       group.primary_ == link.server_ && HoldsLease(group, group.term_, aNow);
     link.sentLeaseTerm_ = leased ? group.term_ : 0;
   }
-  link.unanswered_.push_back(aCommand.kind_);
+  link.answers_.Expect({ aCommand.kind_, aCommand.endsTransaction_ });
   aOut.push_back(SendServerCommand{ aLink, std::move(aCommand) });
 }
 
@@ -81,7 +81,7 @@
                    GatewayActions& aOut)
 {
   Link& link = links_.at(aLink);
-  const std::size_t sentBefore = link.unanswered_.size();
+  const std::size_t sentBefore = link.answers_.CountUnanswered();
   const bool hasExtraValues =
     std::any_of(link.values_.begin(), link.values_.end(), [&](auto& aValue) {
       return !aSession.state_.Values().contains(aValue.first);
@@ -114,7 +114,7 @@
       SendCommand(aLink, std::move(prepare), aNow, aOut);
     }
   }
-  return link.unanswered_.size() == sentBefore;
+  return link.answers_.CountUnanswered() == sentBefore;
 }
 
 // Returns the command that runs the statement on a server.
@@ -124,6 +124,7 @@
 {
   ServerCommand command;
   command.id_ = aStatement.id_;
+  command.endsTransaction_ = aStatement.kind_ == StatementKind::Commit;
   if (aStatement.kind_ != StatementKind::Execute) {
     command.text_ = aStatement.text_;
     return command;
@@ -207,7 +208,7 @@
 Gateway::SendNextCommand(ServerLinkId aLink, Time aNow, GatewayActions& aOut)
 {
   Link& link = links_.at(aLink);
-  if (!link.hasNextCommand_ || !link.unanswered_.empty()) {
+  if (!link.hasNextCommand_ || !link.answers_.IsIdle()) {
     return;
   }
   link.hasNextCommand_ = false;
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -320,16 +320,22 @@
 Gateway::Handle(ServerLinkAnswered& aEvent, Time aNow, GatewayActions& aOut)
 {
   const auto found = links_.find(aEvent.link_);
-  if (found == links_.end() || found->second.unanswered_.empty()) {
+  if (found == links_.end()) {
     return;
   }
   Link& link = found->second;
+  const AnswerVerdict verdict = link.answers_.Check(aEvent.answer_);
+  if (verdict != AnswerVerdict::Matches) {
+    ReportUnmatched(aEvent.link_, aEvent.answer_, verdict, aOut);
+  }
+  if (link.answers_.IsIdle()) {
+    return;
+  }
   link.heardAt_ = aNow;
   Server& server = servers_.at(link.server_);
   RecordContact(server, aNow, aOut);
   RecordPoint(link, aEvent.answer_.point_, aNow);
-  const CommandKind kind = link.unanswered_.front();
-  link.unanswered_.pop_front();
+  const CommandKind kind = link.answers_.Accept(aEvent.answer_);
   if (kind != CommandKind::Forward && kind != CommandKind::Execute) {
     HandleSetupAnswer(aEvent.link_, kind, aEvent.answer_, aNow, aOut);
     return;
@@ -356,6 +362,33 @@
   }
 }
 
+// Logs and counts an answer that is not known to belong to the link's oldest
+// unanswered command.
+void
+Gateway::ReportUnmatched(ServerLinkId aLink,
+                         const ServerAnswer& aAnswer,
+                         AnswerVerdict aVerdict,
+                         GatewayActions& aOut)
+{
+  const Link& link = links_.at(aLink);
+  (aVerdict == AnswerVerdict::Repeated    ? counters_.answersRepeated_
+   : aVerdict == AnswerVerdict::Ambiguous ? counters_.answersAmbiguous_
+                                          : counters_.answersUnexpected_)++;
+  aOut.push_back(WriteLogEvent{
+    Event::AnswerUnmatched,
+    fmt::format("server={} link={} verdict={} unanswered={} signature={} "
+                "error={} rows={} point={}.{}",
+                link.server_,
+                aLink,
+                GetVerdictName(aVerdict),
+                link.answers_.CountUnanswered(),
+                aAnswer.signature_.empty() ? "-" : aAnswer.signature_,
+                aAnswer.error_ ? GetErrorName(*aAnswer.error_) : "-",
+                aAnswer.rows_.size(),
+                aAnswer.point_.term_,
+                aAnswer.point_.position_) });
+}
+
 // Handles the answer to a command other than the statement itself: setup of the
 // link, begin or rollback.
 void
@@ -367,7 +400,7 @@
 {
   Link& link = links_.at(aLink);
   if (link.state_ == LinkState::RollingBack) {
-    if (!link.unanswered_.empty()) {
+    if (!link.answers_.IsIdle()) {
       return;
     }
     if (aAnswer.state_ != TransactionState::Idle) {
@@ -386,7 +419,7 @@
   const auto work = work_.find(id);
   const bool isBegin =
     aKind == CommandKind::Begin || aKind == CommandKind::BeginReadOnly;
-  if (!isBegin || work == work_.end() || !link.unanswered_.empty()) {
+  if (!isBegin || work == work_.end() || !link.answers_.IsIdle()) {
     CloseLink(aLink, aOut);
     RemoveLink(aLink, aNow, aOut);
     return;
@@ -538,11 +571,13 @@
     counters_.done_++;
     aOut.push_back(WriteLogEvent{
       Event::StatementDone,
-      fmt::format("id={} session={} server={} point={}.{} term={} "
-                  "attempts={} queued_ms={} total_ms={}",
+      fmt::format("id={} session={} server={} link={} signature={} "
+                  "point={}.{} term={} attempts={} queued_ms={} total_ms={}",
                   work.statement_.id_,
                   sessionId,
                   serverId,
+                  aLink,
+                  reply.signature_,
                   aAnswer.point_.term_,
                   aAnswer.point_.position_,
                   work.leaseTerm_,
@@ -672,7 +707,7 @@
     session.txState_ = isCommit ? TxState::None : TxState::Failed;
     if (links_.contains(link)) {
       links_.at(link).session_ = 0;
-      if (links_.at(link).unanswered_.empty()) {
+      if (links_.at(link).answers_.IsIdle()) {
         ReleaseLink(link, aNow, aOut);
       } else {
         CloseLink(link, aOut);
--- a/gateway/GatewaySessions.cpp
+++ b/gateway/GatewaySessions.cpp
@@ -250,7 +250,7 @@
   const auto link = links_.find(session.txLink_);
   if (link != links_.end()) {
     link->second.session_ = 0;
-    if (link->second.unanswered_.empty()) {
+    if (link->second.answers_.IsIdle()) {
       ReleaseLink(session.txLink_, aNow, aOut);
     } else {
       link->second.state_ = LinkState::RollingBack;
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -539,7 +539,7 @@
     const bool openTimedOut =
       link.state_ == LinkState::Opening && aNow - link.openedAt_ > kOpenTimeout;
     const bool isWaiting =
-      link.state_ != LinkState::Opening && !link.unanswered_.empty();
+      link.state_ != LinkState::Opening && !link.answers_.IsIdle();
     const Duration waited = isWaiting ? aNow - link.sentAt_ : Duration{};
     // The server has run the statement or never will; the answer may be lost.
     if (waited > kSlotTimeout) {
@@ -594,7 +594,7 @@
     const bool isWaiting = std::any_of(
       primary->links_.begin(), primary->links_.end(), [&](ServerLinkId aId) {
         const Link& link = links_.at(aId);
-        return link.state_ != LinkState::Opening && !link.unanswered_.empty() &&
+        return link.state_ != LinkState::Opening && !link.answers_.IsIdle() &&
                aNow - link.sentAt_ > kSilenceTimeout;
       });
     const bool isDoubted = aNow - group.doubtedAt_ <= kDoubtWindow;
--- a/gateway/SessionTypes.h
+++ b/gateway/SessionTypes.h
@@ -126,11 +126,12 @@
   }
 
   CommandKind kind_ = CommandKind::Forward;
-  std::string id_;       // Forward, Execute: the caller's statement id
-  std::string text_;     // Forward
-  std::string name_;     // Set, Prepare, Execute
-  std::string argument_; // Set, Prepare, Execute
-  bool writes_ = false;  // Prepare: the statement writes data
+  std::string id_;               // Forward, Execute: the caller's statement id
+  std::string text_;             // Forward
+  std::string name_;             // Set, Prepare, Execute
+  std::string argument_;         // Set, Prepare, Execute
+  bool writes_ = false;          // Prepare: the statement writes data
+  bool endsTransaction_ = false; // Forward: a commit
   // The server refuses the command while its log is below this point. Zero: no
   // minimum.
   LogPoint minPoint_;
@@ -141,7 +142,11 @@
   std::vector<std::string> rows_;
   std::optional<SessionError> error_;
   std::string errorText_;
+  // Unique to each run of a statement; empty for commands of the gateway.
   std::string signature_;
+  // The server said whether the command succeeded. Without it, the answer only
+  // tells that a connection is open.
+  bool hasResult_ = false;
   TransactionState state_ = TransactionState::Idle;
   LogPoint point_; // last entry of the server's log; zero: not stated
 };
