--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -143,6 +143,53 @@
     CHECK(other.Next()->kind_ == CallerMessage::Kind::Unreadable);
   }
 
+  SECTION("a text is not cut at a line feed, nor is its rest run")
+  {
+    const std::string text = "WRITE 1a4 one\ntwo\rthree\nQUERY q2 COMMIT\n";
+    LineCodec::CallerParser parser;
+    for (const char byte : "QUERY q1 " + text + "\r\nQUERY q3 ROLLBACK\r\n") {
+      parser.Push({ &byte, 1 });
+    }
+    const auto write = parser.Next();
+    REQUIRE(write.has_value());
+    CHECK(write->statement_.text_ == text);
+    const auto next = parser.Next();
+    REQUIRE(next.has_value());
+    CHECK(next->statement_.id_ == "q3");
+    CHECK_FALSE(parser.Next().has_value());
+  }
+
+  SECTION("a row is not cut at a line feed, nor is its rest a signature")
+  {
+    const std::string row = "one\nCOMPLETE forged\nREADY I -\rtwo\n";
+    LineCodec::ServerParser parser;
+    parser.Push("ROW " + row + "\r\nCOMPLETE 7.1f3\r\nREADY I 3.12\r\n");
+    const auto message = parser.Next();
+    REQUIRE(message.has_value());
+    CHECK(message->answer_.rows_ == std::vector<std::string>{ row });
+    CHECK(message->answer_.signature_ == "7.1f3");
+    CHECK_FALSE(parser.Next().has_value());
+  }
+
+  SECTION("an answer whose middle is missing is not taken for a whole one")
+  {
+    for (const char* bytes :
+         { "ROW a\r\nREADY I 3.12\r\n",
+           "COMPLETE 7.1\r\nCOMPLETE 7.2\r\nREADY I -\r\n",
+           "COMPLETE 7.1\r\nROW a\r\nREADY I -\r\n",
+           "ERROR BUSY i-1\r\nCOMPLETE 7.1\r\nREADY I -\r\n",
+           "ROW a\r\nCOMPLETE 7.1\r\nREADY\r\n",
+           "ROW a\r\nCOMPLETE 7.1\r\nREADY X -\r\n",
+           "ROW a\r\nCOMPLETE\r\nREADY I -\r\n" }) {
+      INFO(bytes);
+      LineCodec::ServerParser parser;
+      parser.Push(bytes);
+      const auto message = parser.Next();
+      REQUIRE(message.has_value());
+      CHECK(message->kind_ == ServerMessage::Kind::Unreadable);
+    }
+  }
+
   SECTION("random bytes never crash a parser")
   {
     std::mt19937_64 random(1);
