--- a/daemon/SessionShell.h
+++ b/daemon/SessionShell.h
@@ -920,7 +920,7 @@
       HandleServerLost(aId);
     } else if (aServer.opened_) {
       Step(ServerLinkAnswered{ aId, std::move(aMessage.answer_) });
-    } else if (aMessage.answer_.error_) {
+    } else if (aMessage.answer_.hasResult_) {
       HandleServerLost(aId, aMessage.answer_.error_);
     } else {
       aServer.opened_ = true;
