--- a/tests/server_calls_test.cpp
+++ b/tests/server_calls_test.cpp
@@ -27,7 +27,7 @@
 
 constexpr Duration kWaitTimeout = 10s;     // enough on a busy machine
 constexpr Duration kStatusInterval = 50ms; // of the leader's requests
-constexpr std::size_t kFewConnections = 6; // of those that a server accepts
+constexpr std::size_t kFewConnections = 4; // of those that a server accepts
 constexpr std::string_view kReady = "READY I 3.10\r\n";
 constexpr std::string_view kBusy = "ERROR BUSY slots\r\nREADY I 3.10\r\n";
 
