Failover: a status of an earlier request does not replace a newer one

What the leader decided by: the status that arrived last. Requests to a server have connections of their own now, so that answers may arrive in another order than they were sent in; and before that too, a status that was requested before the leases on a leaving primary were given back counted if it arrived after that. Then the successor looked caught up without the last commits, or a server with a shorter log was promoted.

Change: a status counts only if its request is later than the last one of this server that was answered, and than the start of the phase, or the moment when the leases were given back. That a primary stepped down counts from any answer to STEPDOWN. While the leader waits for the leases, it asks for no statuses, which it dropped anyway; the first request goes out as soon as they are back.

control_test, before (with the tests, old Failover): "a status that arrives late does not replace a newer one" promoted s3 at 1.40 instead of s2 at 1.50; "a log is not caught up with a status from before the leases ended" wrote the intent for s2 at 1.50 with s1 at 1.51. After: both pass.

--- a/control/Failover.cpp
+++ b/control/Failover.cpp
@@ -112,12 +112,18 @@
     initialStatuses_[call.database_][call.server_] = *aStatus;
     return;
   }
-  replacement->second.statuses_[call.server_] = *aStatus;
-  if (!replacement->second.firstStatusAt_) {
-    replacement->second.firstStatusAt_ = aNow;
-  }
+  Replacement& current = replacement->second;
   if (call.stepDown_ && !aStatus->primary_) {
-    replacement->second.oldPrimarySteppedDown_ = true;
+    current.oldPrimarySteppedDown_ = true;
+  }
+  std::uint64_t& answeredCallId = current.answeredCallIds_[call.server_];
+  if (aCallId < std::max(current.firstCallId_, answeredCallId)) {
+    return;
+  }
+  answeredCallId = aCallId;
+  current.statuses_[call.server_] = *aStatus;
+  if (!current.firstStatusAt_) {
+    current.firstStatusAt_ = aNow;
   }
 }
 
@@ -326,6 +332,7 @@
   aReplacement.statusesRequestedAt_ = Time{};
   aReplacement.firstStatusAt_.reset();
   aReplacement.statuses_.clear();
+  aReplacement.firstCallId_ = nextCallId_;
 }
 
 // ---- Status requests to servers
@@ -529,6 +536,17 @@
     aReplacement.leasesRevokedAt_ = aNow;
     revocations_.push_back(aDatabase.name());
   }
+  // Until the old primary steps down, its statuses tell which log entries the
+  // successor still lacks. Those that were requested before its leases were
+  // given back are out of date.
+  const bool awaitsLeases =
+    aReplacement.planned_ && !aReplacement.oldPrimarySteppedDown_ &&
+    !leasesGone && aNow - aReplacement.phaseStartedAt_ < timing_.catchUpLimit_;
+  if (awaitsLeases) {
+    aReplacement.statuses_.clear();
+    aReplacement.firstCallId_ = nextCallId_;
+    return;
+  }
   const wire::Upstream* old = FindServer(aDatabase, aDatabase.primary());
   const bool intentLogged =
     aDatabase.intended_primary() == aReplacement.successor_;
@@ -536,18 +554,9 @@
       (aReplacement.planned_ && !aReplacement.oldPrimarySteppedDown_)) {
     RequestStatuses(aDatabase, aReplacement, aNow);
   }
-  // Until the old primary steps down, its statuses tell which log entries the
-  // successor still lacks. Those from before its leases were given back are
-  // out of date.
-  if (aReplacement.planned_ && !aReplacement.oldPrimarySteppedDown_) {
-    if (!leasesGone &&
-        aNow - aReplacement.phaseStartedAt_ < timing_.catchUpLimit_) {
-      aReplacement.statuses_.clear();
-      return;
-    }
-    if (!HasSuccessorCaughtUp(aDatabase, aReplacement, aNow)) {
-      return;
-    }
+  if (aReplacement.planned_ && !aReplacement.oldPrimarySteppedDown_ &&
+      !HasSuccessorCaughtUp(aDatabase, aReplacement, aNow)) {
+    return;
   }
   const bool primaryReached =
     aReplacement.statuses_.contains(aDatabase.primary());
--- a/control/Failover.h
+++ b/control/Failover.h
@@ -162,6 +162,10 @@
     Time leasesRevokedAt_;
     std::optional<Time> firstStatusAt_;         // in this phase
     std::map<ServerId, ServerStatus> statuses_; // in this phase
+    // Statuses of earlier requests are out of date: the first request that
+    // counts, and the last one of each server that was answered.
+    std::uint64_t firstCallId_ = 0;
+    std::map<ServerId, std::uint64_t> answeredCallIds_;
     ServerId successor_;
     bool oldPrimarySteppedDown_ = false;
     bool promotionAccepted_ = false;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -184,6 +184,35 @@
     }
   }
 
+  // Both VMs give back their leases on the primary and suspect it.
+  void SuspectPrimary()
+  {
+    for (const VmId vm : { "vm-a", "vm-b" }) {
+      Grant(vm);
+      leases_.HandleRelease(vm, MakeRelease(1, 1));
+      failover_.RecordSuspicion(vm, MakeSuspicion(true), now_);
+    }
+  }
+
+  // For tests that answer the requests themselves.
+  std::vector<RequestServerStatus> TickAndTakeStatusRequests()
+  {
+    failover_.Tick(log_.state_, leases_, 7, now_);
+    return failover_.TakeStatusRequests();
+  }
+
+  // Answers those of the requests that went to the server.
+  void Answer(const std::vector<RequestServerStatus>& aRequests,
+              const ServerId& aServer,
+              const ServerStatus& aStatus)
+  {
+    for (const auto& request : aRequests) {
+      if (request.server_.server() == aServer) {
+        failover_.HandleServerStatus(request.callId_, aStatus, now_);
+      }
+    }
+  }
+
   const wire::Database& Database() const
   {
     return log_.state_.Databases().at(kDatabase);
@@ -410,6 +439,50 @@
     CHECK(leader.Database().primary() == "s3");
   }
 
+  SECTION("a status that arrives late does not replace a newer one")
+  {
+    leader.SuspectPrimary();
+    leader.Step(); // starts the replacement
+    const auto earlier = leader.TickAndTakeStatusRequests();
+    REQUIRE_FALSE(earlier.empty());
+    leader.now_ += 60ms;
+    const auto later = leader.TickAndTakeStatusRequests();
+    REQUIRE_FALSE(later.empty());
+    leader.Answer(later, "s2", { false, 1, { 1, 50 } });
+    leader.Answer(earlier, "s2", { false, 1, { 1, 20 } });
+    leader.Answer(later, "s3", { false, 1, { 1, 40 } });
+    leader.Run(1s);
+    REQUIRE_FALSE(leader.promotions_.empty());
+    CHECK(leader.promotions_[0].server_ == "s2");
+  }
+
+  SECTION("a log is not caught up with a status from before the leases ended")
+  {
+    leader.Grant("vm-a");
+    leader.Grant("vm-b");
+    leader.log_.Announce("s1", "a", 1, 2, true);
+    leader.Step(); // starts the replacement
+    leader.Step();
+    leader.Step(); // the successor is chosen
+    std::vector<RequestServerStatus> earlier;
+    for (int i = 0; i < 5; i++) {
+      const auto requests = leader.TickAndTakeStatusRequests();
+      earlier.insert(earlier.end(), requests.begin(), requests.end());
+      leader.now_ += 20ms;
+    }
+    // The last commit before the lease is given back reaches s1 only.
+    leader.servers_["s1"]->received_ = { 1, 51 };
+    leader.leases_.HandleRelease("vm-a", MakeRelease(1, 1));
+    leader.leases_.HandleRelease("vm-b", MakeRelease(1, 1));
+    leader.Answer(earlier, "s1", { true, 1, { 1, 50 } });
+    leader.Answer(earlier, "s2", { false, 1, { 1, 50 } });
+    leader.Run(100ms);
+    CHECK(leader.Database().intended_primary().empty());
+    leader.servers_["s2"]->received_ = { 1, 51 };
+    leader.Run(100ms);
+    CHECK(leader.Database().intended_primary() == "s2");
+  }
+
   SECTION("a new database gets the primary that one of its servers claims")
   {
     Leader fresh;
