Failover: a late answer to a promotion does not count for the next successor

Cause: an answer was looked up by its call, but taken for the present successor of the database. A request may be answered 2.5 s after it was sent, and another successor is chosen 3 s after the first request: an acceptance of the former one then ended the repeats for the new one, a refusal excluded it.

Change: the open requests are forgotten when another successor is to be chosen, and when a replacement starts.

control_test, "a late answer to a promotion does not count for the next successor": before, no request followed an acceptance (7 > 7), and s2 was asked again after a refusal; both pass now.

--- a/control/Failover.cpp
+++ b/control/Failover.cpp
@@ -189,6 +189,15 @@
   });
 }
 
+void
+Failover::DropPromotionCalls(const DatabaseId& aDatabase)
+{
+  EraseWhere(pendingPromotionCalls_,
+             [&](std::uint64_t, const DatabaseId& aCalledFor) {
+               return aCalledFor == aDatabase;
+             });
+}
+
 // ---- When a replacement is needed
 
 // Starts a replacement if the primary is leaving, gone or suspected, or if an
@@ -315,6 +324,7 @@
            replacement.successor_.empty() ? Phase::Choosing : Phase::Fencing,
            aNow);
   replacements_[aDatabase.name()] = std::move(replacement);
+  DropPromotionCalls(aDatabase.name());
   logEvents_.push_back(
     { Event::PromotionStarted,
       fmt::format("database={} primary={} term={} cause=\"{}\"",
@@ -630,6 +640,7 @@
     aReplacement.excludedServers_ = { aReplacement.successor_ };
     aReplacement.planned_ = false;
     SetPhase(aReplacement, Phase::Choosing, aNow);
+    DropPromotionCalls(aDatabase.name());
     return;
   }
   if (!aReplacement.promotionAccepted_ &&
--- a/control/Failover.h
+++ b/control/Failover.h
@@ -231,6 +231,8 @@
                      Time aNow);
   void SetPhase(Replacement& aReplacement, Phase aPhase, Time aNow);
   void DropTimedOutCalls(Time aNow);
+  // Ignores the answers to promotion requests that were sent so far.
+  void DropPromotionCalls(const DatabaseId& aDatabase);
 
   FailoverTiming timing_;
   std::optional<Time> electedAt_; // first tick of this leadership
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -483,6 +483,42 @@
     CHECK(leader.Database().intended_primary() == "s2");
   }
 
+  SECTION("a late answer to a promotion does not count for the next successor")
+  {
+    leader.servers_["s1"] = std::nullopt;
+    leader.serviceWorks_ = false; // and does not answer
+    leader.SuspectPrimary();
+    const auto requestedLast = [&](const ServerId& aServer) {
+      return !leader.promotions_.empty() &&
+             leader.promotions_.back().server_ == aServer;
+    };
+    for (int i = 0; i < 500 && !requestedLast("s3"); i++) {
+      leader.Step();
+    }
+    REQUIRE(requestedLast("s3"));
+    REQUIRE(leader.promotions_.size() > 1);
+    const auto former = leader.promotions_[leader.promotions_.size() - 2];
+    REQUIRE(former.server_ == "s2");
+
+    SECTION("that it was accepted: the next one is requested again")
+    {
+      leader.failover_.HandlePromotionAnswer(
+        former.callId_, PromotionAnswer::Accepted, leader.now_);
+      const std::size_t sent = leader.promotions_.size();
+      leader.Run(1s);
+      CHECK(leader.promotions_.size() > sent);
+      CHECK(requestedLast("s3"));
+    }
+
+    SECTION("that it was refused: the next one is not given up")
+    {
+      leader.failover_.HandlePromotionAnswer(
+        former.callId_, PromotionAnswer::Refused, leader.now_);
+      leader.Run(1s);
+      CHECK(requestedLast("s3"));
+    }
+  }
+
   SECTION("a new database gets the primary that one of its servers claims")
   {
     Leader fresh;
