--- a/tests/server_calls_test.cpp
+++ b/tests/server_calls_test.cpp
@@ -2,9 +2,10 @@
 // answer to itself, and not one to an earlier call. The servers are scripts
 // that listen on the loopback interface.
 
+#include "daemon/Http.h"
 #include "platform/ServerCalls.h"
 
-#include <map>
+#include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -22,6 +24,7 @@
 namespace {
 
 namespace asio = boost::asio;
+namespace json = boost::json;
 using namespace platform;
 using Tcp = asio::ip::tcp;
 
@@ -388,4 +391,43 @@
   }
 }
 
+TEST_CASE("Names that JSON has to escape reach the promotion service as they "
+          "are")
+{
+  asio::io_context context;
+  std::string body;
+  HttpServer service(
+    context,
+    HttpLimits{},
+    [&](HttpRequest aRequest) -> asio::awaitable<HttpResponse> {
+      body = aRequest.body_;
+      co_return HttpResponse{};
+    });
+  const auto port = service.Listen("127.0.0.1", 0);
+  REQUIRE(port);
+  NodeFile file;
+  file.name_ = "vm-a";
+  file.promotionService_ = Address{ "127.0.0.1", *port };
+  ServerCalls calls(file);
+  calls.SetContext(context);
+  const std::string database = "quote\" backslash\\ tab\t";
+  const std::string server = R"(s1","id":"s2)";
+  Outcome<PromotionAnswer> outcome;
+  calls.Port().requestPromotion_({ 1, database, server, 7 },
+                                 [&](PromotionAnswer aAnswer) {
+                                   outcome.callbacks_++;
+                                   outcome.result_ = aAnswer;
+                                   context.stop();
+                                 });
+  context.run_for(kWaitTimeout);
+  CHECK(outcome.callbacks_ == 1);
+  CHECK(outcome.result_ == PromotionAnswer::Accepted);
+  boost::system::error_code error;
+  const json::value sent = json::parse(body, error);
+  REQUIRE_FALSE(error);
+  CHECK(sent.as_object().size() == 2);
+  CHECK(sent.at("service").as_string() == database);
+  CHECK(sent.at("id").as_string() == server);
+}
+
 } // namespace jaydoor::tests
