Tests: answers to promotion requests that come in another order

Each request has a connection and a client of its own, so that a late answer can't be taken for that to a later request.

--- a/tests/server_calls_test.cpp
+++ b/tests/server_calls_test.cpp
@@ -391,6 +391,45 @@
   }
 }
 
+TEST_CASE("A late answer to a promotion is not taken for that to a later one")
+{
+  // The service answers the first request after the second.
+  asio::io_context context;
+  int requests = 0;
+  HttpServer service(context,
+                     HttpLimits{},
+                     [&](const HttpRequest&) -> asio::awaitable<HttpResponse> {
+                       HttpResponse response;
+                       if (++requests == 1) {
+                         asio::steady_timer timer(context, 100ms);
+                         co_await timer.async_wait(asio::use_awaitable);
+                         response.status_ = 409;
+                       }
+                       co_return response;
+                     });
+  const auto port = service.Listen("127.0.0.1", 0);
+  REQUIRE(port);
+  NodeFile file;
+  file.promotionService_ = Address{ "127.0.0.1", *port };
+  ServerCalls calls(file);
+  calls.SetContext(context);
+  std::vector<Outcome<PromotionAnswer>> outcomes(2);
+  for (std::size_t i = 0; i < outcomes.size(); i++) {
+    calls.Port().requestPromotion_({ i, "service", fmt::format("s{}", i), 7 },
+                                   [&outcomes, i](PromotionAnswer aAnswer) {
+                                     outcomes[i].callbacks_++;
+                                     outcomes[i].result_ = aAnswer;
+                                   });
+    context.run_for(30ms);
+  }
+  context.restart();
+  context.run_for(3s); // longer than the limit of a request
+  CHECK(outcomes[0].callbacks_ == 1);
+  CHECK(outcomes[0].result_ == PromotionAnswer::Refused);
+  CHECK(outcomes[1].callbacks_ == 1);
+  CHECK(outcomes[1].result_ == PromotionAnswer::Accepted);
+}
+
 TEST_CASE("Names that JSON has to escape reach the promotion service as they "
           "are")
 {
