Tests: stand-ins of servers sign each run, and state results and transactions as a server does

The stand-ins under virtual time shared the program's mistake: every answer had the signature "signed" or none, hasResult_ was not set, and the state after a begin, commit, SET or error was that of the test, so that no check of answers against commands could be tried on them.

tests/ConnectionAnswers.h answers the commands of one connection: statements that run get a signature of their own, commands of the gateway none; the state is that of the transaction, Failed after an error in it other than a lack of capacity; from there only a commit or rollback is accepted, and both roll back. SessionWorld, LoadWorld, OrganisationWorld and the fixtures of gateway_test, drain_test, limit_gateway_test and organisation_test use it. The fixtures of tests answer only commands that were sent, which showed three answers to nothing: - gateway_test, "a write is not sent once the lease has run out": the second answer went to a link that was not open yet; now to the one with the rollback or the write. - limit_gateway_test, "and later ones of the session wait behind it": answered before q2 was sent. Removed; the checks are the same. - organisation_test, "Keys do not leave the VM": the transaction was answered on a link that had been closed and so never began. Now it does, on the second connection that the limit leaves. The signature in "a write is acknowledged under a lease" is that of the second run, 1.2, in place of "signed". No other expectation has changed.

SessionWorld's servers run a statement as it was sent, also when its caller was answered meanwhile: before, such a commit or write was left out, or took the value of the caller's next statement.

--- a/tests/LoadWorld.cpp
+++ b/tests/LoadWorld.cpp
@@ -18,14 +18,6 @@
   return fmt::format("server-{}", aServer + 1);
 }
 
-// Returns true for a caller's statement, which takes time in a slot.
-bool
-NeedsSlot(const ServerCommand& aCommand)
-{
-  return aCommand.kind_ == CommandKind::Forward ||
-         aCommand.kind_ == CommandKind::Execute;
-}
-
 CatalogPtr
 MakeCatalog(const LoadConfig& aConfig)
 {
@@ -282,7 +274,10 @@
     return;
   }
   server.connections_++;
-  connections_[aLink] = { aServer, false };
+  connections_[aLink] = {
+    aServer,
+    ConnectionAnswers(fmt::format("{}.{}", aLink.first, aLink.second)),
+  };
   Submit(aServer, Job{ .link_ = aLink, .command_ = {}, .opens_ = true });
 }
 
@@ -310,28 +305,22 @@
   Server& server = servers_[aServer];
   Connection& connection = connections_.at(aJob.link_);
   const bool isReplica = aServer != 0;
-  const bool takesSlot = aJob.opens_ || NeedsSlot(aJob.command_);
-  ServerAnswer answer;
-  answer.state_ =
-    connection.inTransaction_ ? TransactionState::Open : TransactionState::Idle;
+  // A caller's statement takes time in a slot.
+  const bool takesSlot =
+    aJob.opens_ || ConnectionAnswers::RunsStatement(aJob.command_);
   if (isReplica && replicasBehind_ && !aJob.opens_ &&
       aJob.command_.minPoint_ != LogPoint{}) {
-    answer.error_ = SessionError::Behind;
-    Answer(aJob.link_, std::move(answer));
+    Answer(aJob.link_,
+           connection.answers_.Answer(aJob.command_, SessionError::Behind));
     return;
   }
   if (!takesSlot) {
-    const CommandKind kind = aJob.command_.kind_;
-    connection.inTransaction_ =
-      kind == CommandKind::Begin || kind == CommandKind::BeginReadOnly;
-    answer.state_ = connection.inTransaction_ ? TransactionState::Open
-                                              : TransactionState::Idle;
-    Answer(aJob.link_, std::move(answer));
+    Answer(aJob.link_, connection.answers_.Answer(aJob.command_));
     return;
   }
   if (!aJob.opens_ && server.queue_.size() >= config_.queue_) {
-    answer.error_ = SessionError::Overloaded;
-    Answer(aJob.link_, std::move(answer));
+    Answer(aJob.link_,
+           connection.answers_.Answer(aJob.command_, SessionError::Overloaded));
     return;
   }
   server.queue_.push_back(std::move(aJob));
@@ -377,13 +366,8 @@
     servers_[0].position_ += text == "write" && aServer == 0 ? 1U : 0U;
     server.position_ = replicasBehind_ && aServer != 0 ? server.position_
                                                        : servers_[0].position_;
-    bool& inTransaction = connection->second.inTransaction_;
-    inTransaction = inTransaction && text != "commit";
-    ServerAnswer answer;
-    answer.signature_ = "signed";
+    ServerAnswer answer = connection->second.answers_.Answer(aJob.command_);
     answer.point_ = { 1, server.position_ };
-    answer.state_ =
-      inTransaction ? TransactionState::Open : TransactionState::Idle;
     Answer(aJob.link_, std::move(answer));
   }
   RunNext(aServer);
--- a/tests/LoadWorld.h
+++ b/tests/LoadWorld.h
@@ -16,6 +16,7 @@
 #include "control/OverloadMonitor.h"
 #include "control/PrimaryPoints.h"
 #include "gateway/Gateway.h"
+#include "tests/ConnectionAnswers.h"
 #include "tests/Timeline.h"
 
 #include <deque>
@@ -125,7 +126,7 @@
   struct Connection
   {
     std::size_t server_ = 0;
-    bool inTransaction_ = false;
+    ConnectionAnswers answers_;
   };
 
   struct Job
--- a/tests/OrganisationWorld.cpp
+++ b/tests/OrganisationWorld.cpp
@@ -366,7 +366,12 @@
     const ConnectionKey key{ aGateway, open->link_ };
     const auto server =
       static_cast<std::size_t>(std::stoul(open->server_.substr(7)));
-    connections_[key] = { server, open->organisation_, false };
+    connections_[key] = {
+      server,
+      open->organisation_,
+      false,
+      ConnectionAnswers(fmt::format("{}.{}", key.first, key.second)),
+    };
     totals_.opened_++;
     const std::size_t links = ++linksOf_[aGateway * kServers + server];
     totals_.mostLinks_ = std::max(totals_.mostLinks_, links);
@@ -451,16 +456,8 @@
         ? 1U
         : 0U;
   }
-  if (aCommand.kind_ == CommandKind::Begin) {
-    connection.inside_ = true;
-  } else if (aCommand.kind_ == CommandKind::Rollback ||
-             aCommand.text_ == "COMMIT") {
-    connection.inside_ = false;
-  }
-  ServerAnswer answer;
+  ServerAnswer answer = connection.answers_.Answer(aCommand);
   answer.point_ = { 1, 1 };
-  answer.state_ =
-    connection.inside_ ? TransactionState::Open : TransactionState::Idle;
   Enter(connection.server_,
         { work, [this, aKey, answer] {
            if (connections_.contains(aKey)) {
--- a/tests/OrganisationWorld.h
+++ b/tests/OrganisationWorld.h
@@ -13,6 +13,7 @@
 // a link of its session's organisation.
 
 #include "gateway/Gateway.h"
+#include "tests/ConnectionAnswers.h"
 #include "tests/Timeline.h"
 
 #include <array>
@@ -80,7 +81,7 @@
     std::size_t server_ = 0;
     OrganisationId organisation_;
     bool open_ = false;
-    bool inside_ = false; // a transaction
+    ConnectionAnswers answers_;
   };
 
   struct Job
--- a/tests/SessionWorld.cpp
+++ b/tests/SessionWorld.cpp
@@ -210,8 +210,11 @@
     }
     ScheduleAfter(kConnectDelay, [this, key, server] {
       if (servers_[server].up_) {
-        connections_[key].server_ = server;
-        connections_[key].gateway_ = key.first;
+        Connection& connection = connections_[key];
+        connection.server_ = server;
+        connection.gateway_ = key.first;
+        connection.answers_ =
+          ConnectionAnswers(fmt::format("{}.{}", key.first, key.second));
         StepGateway(key.first, ServerLinkOpened{ key.second });
       } else {
         StepGateway(key.first, ServerLinkLost{ key.second, {} });
@@ -331,7 +334,7 @@
 SessionWorld::Execute(Connection& aConnection, const ServerCommand& aCommand)
 {
   Server& server = servers_[aConnection.server_];
-  ServerAnswer answer;
+  std::optional<SessionError> error;
   switch (aCommand.kind_) {
     case CommandKind::Reset:
       aConnection.values_.clear();
@@ -347,99 +350,94 @@
     case CommandKind::Begin:
     case CommandKind::BeginReadOnly:
       if (!Holds(server, aCommand.minPoint_)) {
-        answer.error_ = SessionError::Behind;
+        error = SessionError::Behind;
       } else if (aCommand.kind_ == CommandKind::Begin && !server.primary_) {
-        answer.error_ = SessionError::ReadOnly;
+        error = SessionError::ReadOnly;
       } else {
-        Check(!aConnection.inside_, "a begin inside a transaction");
-        aConnection.inside_ = true;
+        Check(!aConnection.IsInside(), "a begin inside a transaction");
         aConnection.reads_ = aCommand.kind_ == CommandKind::BeginReadOnly;
         aConnection.writes_.clear();
         aConnection.owner_.clear();
       }
       break;
     case CommandKind::Rollback:
-      aConnection.inside_ = false;
       aConnection.writes_.clear();
       break;
     default:
-      answer = ExecuteStatement(aConnection, aCommand);
+      error = ExecuteStatement(aConnection, aCommand);
       break;
   }
-  answer.state_ =
-    aConnection.inside_ ? TransactionState::Open : TransactionState::Idle;
+  ServerAnswer answer = aConnection.answers_.Answer(aCommand, error);
   answer.point_ = { server.term_, server.log_.size() };
   return answer;
 }
 
-ServerAnswer
+// Returns the error of a statement that has not run.
+std::optional<SessionError>
 SessionWorld::ExecuteStatement(Connection& aConnection,
                                const ServerCommand& aCommand)
 {
-  ServerAnswer answer;
   Server& server = servers_[aConnection.server_];
-  const auto known = callerOfId_.find(aCommand.id_);
-  if (known == callerOfId_.end()) {
+  const auto known = statements_.find(aCommand.id_);
+  if (known == statements_.end()) {
     Check(false, "a statement that nobody sent: " + aCommand.id_);
-    return answer;
+    return std::nullopt;
   }
-  const Caller& caller = callers_[known->second];
+  const SentStatement& statement = known->second;
+  const Caller& caller = callers_[statement.caller_];
   const bool current = caller.waiting_ == aCommand.id_;
-  const bool isNewWork = !aConnection.inside_ || aConnection.owner_.empty();
+  const bool isNewWork = !aConnection.IsInside() || aConnection.owner_.empty();
   Check(!isNewWork || !server.leavingSince_ ||
           now_ - *server.leavingSince_ < kServerDrainBound,
         fmt::format("a statement reached {} after it had been leaving for too "
                     "long",
                     ServerName(aConnection.server_)));
   if (!Holds(server, aCommand.minPoint_)) {
-    answer.error_ = SessionError::Behind;
-    return answer;
+    return SessionError::Behind;
   }
-  bool writes = caller.kind_ == StatementKind::Write;
+  bool writes = statement.kind_ == StatementKind::Write;
   if (aCommand.kind_ == CommandKind::Execute) {
     const auto prepared = aConnection.prepared_.find(aCommand.name_);
     if (prepared == aConnection.prepared_.end()) {
       Check(false, "an unknown prepared name was executed");
-      answer.error_ = SessionError::NoStatement;
-      return answer;
+      return SessionError::NoStatement;
     }
     writes = prepared->second.first;
   }
   if (current) {
     Check(aConnection.values_ == caller.values_, "values of another session");
-    Check(aConnection.inside_ == caller.inside_,
+    Check(aConnection.IsInside() == caller.inside_,
           "a statement outside its transaction: " + aCommand.id_);
-    if (aConnection.inside_) {
+    if (aConnection.IsInside()) {
       Check(aConnection.owner_.empty() || aConnection.owner_ == caller.name_,
             "a statement inside another session's transaction");
       aConnection.owner_ = caller.name_;
     }
   }
-  if (aConnection.inside_ && !aConnection.reads_ && !server.primary_) {
-    answer.error_ = SessionError::ReadOnly;
-    aConnection.inside_ = false;
-    return answer;
+  if (aConnection.answers_.State() == TransactionState::Failed) {
+    aConnection.writes_.clear();
+    return std::nullopt; // the transaction's error is the answer
+  }
+  if (aConnection.IsInside() && !aConnection.reads_ && !server.primary_) {
+    return SessionError::ReadOnly;
   }
-  if (caller.kind_ == StatementKind::Commit && current) {
+  if (aCommand.endsTransaction_) {
     CommitAll(server, aConnection.writes_);
-    aConnection.inside_ = false;
     aConnection.writes_.clear();
   } else if (writes) {
-    if (!server.primary_ || (aConnection.inside_ && aConnection.reads_)) {
-      answer.error_ = SessionError::ReadOnly;
-      return answer;
+    if (!server.primary_ || (aConnection.IsInside() && aConnection.reads_)) {
+      return SessionError::ReadOnly;
     }
-    const Commit write{ {}, caller.item_, caller.value_ };
-    if (aConnection.inside_) {
+    const Commit write{ {}, statement.item_, statement.value_ };
+    if (aConnection.IsInside()) {
       aConnection.writes_.push_back(write);
-    } else if (current) {
+    } else {
       CommitAll(server, { write });
     }
   } else if (current) {
     CheckRead(server, caller, aConnection);
   }
-  answer.signature_ = "signed";
-  return answer;
+  return std::nullopt;
 }
 
 void
--- a/tests/SessionWorld.h
+++ b/tests/SessionWorld.h
@@ -14,6 +14,7 @@
 #include "control/LeaseTable.h"
 #include "control/PrimaryPoints.h"
 #include "gateway/Gateway.h"
+#include "tests/ConnectionAnswers.h"
 #include "tests/Timeline.h"
 
 #include <map>
@@ -76,7 +77,7 @@
   {
     std::size_t server_ = 0;
     std::size_t gateway_ = 0;
-    bool inside_ = false;
+    ConnectionAnswers answers_;
     bool reads_ = false;
     std::map<std::string, std::string> values_;
     std::map<std::string, std::pair<bool, std::string>> prepared_;
@@ -84,6 +85,8 @@
     std::string owner_;          // session that began the transaction
     std::deque<ServerCommand> inbox_;
     bool busy_ = false;
+
+    bool IsInside() const { return answers_.State() != TransactionState::Idle; }
   };
 
   struct Server
@@ -117,6 +120,15 @@
     std::set<std::string> own_; // values acknowledged to this session
   };
 
+  // A statement that was sent, as the server sees it.
+  struct SentStatement
+  {
+    std::size_t caller_ = 0;
+    StatementKind kind_ = StatementKind::Malformed;
+    std::string item_;
+    std::string value_; // that is written
+  };
+
   // What the world knows of one written value.
   struct Fate
   {
@@ -145,8 +157,8 @@
   void Grant(std::size_t aGateway, const wire::LeaseRequest& aRequest);
   void AwaitFree(bool aStepDown);
   ServerAnswer Execute(Connection& aConnection, const ServerCommand& aCommand);
-  ServerAnswer ExecuteStatement(Connection& aConnection,
-                                const ServerCommand& aCommand);
+  std::optional<SessionError> ExecuteStatement(Connection& aConnection,
+                                               const ServerCommand& aCommand);
   void CheckRead(const Server& aServer,
                  const Caller& aCaller,
                  const Connection& aConnection);
@@ -171,9 +183,9 @@
   std::vector<Server> servers_;
   std::map<ConnectionKey, Connection> connections_;
   std::vector<Caller> callers_;
-  std::map<std::string, std::size_t> callerOfId_;
-  std::map<std::string, Fate> fates_;     // by written value
-  std::vector<std::string> acknowledged_; // values, in order
+  std::map<std::string, SentStatement> statements_; // by id
+  std::map<std::string, Fate> fates_;               // by written value
+  std::vector<std::string> acknowledged_;           // values, in order
   ControlState state_;
   std::uint64_t index_ = 0;
   LeaseTable leases_{ LeaseTiming{} };
--- a/tests/SessionWorldCallers.cpp
+++ b/tests/SessionWorldCallers.cpp
@@ -30,7 +30,9 @@
   if (!caller.inside_) {
     caller.sentAt_ = now_;
   }
-  callerOfId_[aStatement.id_] = aCaller;
+  statements_[aStatement.id_] = {
+    aCaller, aStatement.kind_, caller.item_, caller.value_
+  };
   StepGateway(
     caller.gateway_,
     SessionStatementReceived{ caller.session_, std::move(aStatement) });
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -2,6 +2,7 @@
 // limit has passed, whatever else is wrong with their group.
 
 #include "gateway/Gateway.h"
+#include "tests/ConnectionAnswers.h"
 #include "tests/SessionWorld.h"
 #include "tests/VoterWorld.h"
 
@@ -122,7 +123,7 @@
       } else if (const auto* send = std::get_if<SendServerCommand>(&action)) {
         const ServerId& server = servers_.at(send->link_);
         sent_[server].push_back(send->command_);
-        if (auto answer = Answer(send->command_)) {
+        if (auto answer = Answer(send->link_, send->command_)) {
           answers.push_back(
             ServerLinkAnswered{ send->link_, std::move(*answer) });
         }
@@ -152,6 +153,16 @@
     Step(SessionStatementReceived{ aSession, statement });
   }
 
+  // ---- Servers
+
+  // Answers the begin that was held, on the link of the last command.
+  void AnswerHeldBegin()
+  {
+    Step(ServerLinkAnswered{
+      heldLink_,
+      answers_[heldLink_].Answer(ServerCommand(CommandKind::Begin)) });
+  }
+
   // ---- What was seen
 
   // Statements of callers that the server was sent.
@@ -194,21 +205,20 @@
     state_.Apply(aChange);
   }
 
-  std::optional<ServerAnswer> Answer(const ServerCommand& aCommand)
+  std::optional<ServerAnswer> Answer(ServerLinkId aLink,
+                                     const ServerCommand& aCommand)
   {
-    ServerAnswer answer;
-    answer.point_ = { 1, 1 };
     const bool begins = aCommand.kind_ == CommandKind::Begin ||
                         aCommand.kind_ == CommandKind::BeginReadOnly;
-    inTransaction_ =
-      begins || (inTransaction_ && aCommand.kind_ != CommandKind::Rollback);
-    answer.state_ =
-      inTransaction_ ? TransactionState::Open : TransactionState::Idle;
-    if (aCommand.kind_ == CommandKind::Forward) {
-      answer.signature_ = "signed";
-      answer.error_ = statementError_;
+    if (begins && holdBegins_) {
+      return std::nullopt;
     }
-    return begins && holdBegins_ ? std::nullopt : std::optional(answer);
+    ServerAnswer answer = answers_[aLink].Answer(
+      aCommand,
+      ConnectionAnswers::RunsStatement(aCommand) ? statementError_
+                                                 : std::nullopt);
+    answer.point_ = { 1, 1 };
+    return answer;
   }
 
   ControlState state_;
@@ -216,7 +226,7 @@
   std::map<ServerLinkId, ServerId> servers_;
   std::map<ServerId, std::vector<ServerCommand>> sent_;
   std::map<ServerId, std::size_t> opened_;
-  bool inTransaction_ = false; // of the only one that a test opens at a time
+  std::map<ServerLinkId, ConnectionAnswers> answers_;
   int nextId_ = 1;
 };
 
@@ -311,11 +321,8 @@
     fixture.holdBegins_ = true;
     fixture.Send(1, StatementKind::Begin);
     fixture.Send(1, StatementKind::Write);
-    const ServerLinkId link = fixture.heldLink_;
     fixture.Wait(1500ms);
-    ServerAnswer begun;
-    begun.state_ = TransactionState::Open;
-    fixture.Step(ServerLinkAnswered{ link, begun });
+    fixture.AnswerHeldBegin();
     CHECK(fixture.CountStatements("server-1") == 1);
   }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,6 +1,7 @@
 // Tests single decisions of a Gateway.
 
 #include "gateway/Gateway.h"
+#include "tests/ConnectionAnswers.h"
 
 #include <algorithm>
 
@@ -19,6 +20,7 @@
   Time now_{ 1000s };
   GatewayActions actions_;
   std::map<std::string, ServerLinkId> opened_; // newest link to each server
+  std::map<ServerLinkId, ConnectionAnswers> answers_;
 
   explicit GatewayFixture(Duration aLeaseDuration = 60s,
                           const ZoneId& aZone = "zone-1")
@@ -105,6 +107,11 @@
     for (std::size_t i = before; i < actions_.size(); i++) {
       if (const auto* open = std::get_if<OpenServerLink>(&actions_[i])) {
         opened_[open->server_] = open->link_;
+        answers_.insert_or_assign(
+          open->link_, ConnectionAnswers(std::to_string(open->link_)));
+      } else if (const auto* send =
+                   std::get_if<SendServerCommand>(&actions_[i])) {
+        answers_.at(send->link_).Receive(send->command_);
       }
     }
   }
@@ -134,12 +141,20 @@
     Step(ServerLinkOpened{ opened_[aServer] });
   }
 
-  void Answer(const std::string& aServer, LogPoint aPoint = { 1, 1 })
+  // Answers the oldest command on the link.
+  void Answer(ServerLinkId aLink, LogPoint aPoint = {})
   {
-    ServerAnswer answer;
-    answer.signature_ = "signed";
+    ConnectionAnswers& answers = answers_.at(aLink);
+    REQUIRE_FALSE(answers.IsIdle());
+    ServerAnswer answer = answers.AnswerOldest();
     answer.point_ = aPoint;
-    Step(ServerLinkAnswered{ opened_[aServer], answer });
+    Step(ServerLinkAnswered{ aLink, answer });
+  }
+
+  // Answers the oldest command on the newest link to the server.
+  void Answer(const std::string& aServer, LogPoint aPoint = { 1, 1 })
+  {
+    Answer(opened_[aServer], aPoint);
   }
 
   template<typename Action>
@@ -170,12 +185,6 @@
     });
   }
 
-  bool HasOpenTransaction() const
-  {
-    return CountCommands(
-             [](CommandKind aKind) { return aKind == CommandKind::Begin; }) > 0;
-  }
-
   std::optional<SessionReply> LastReply() const
   {
     for (auto at = actions_.rbegin(); at != actions_.rend(); ++at) {
@@ -205,7 +214,7 @@
     fixture.Send(1, StatementKind::Write, "q2");
     fixture.Answer("server-1");
     CHECK_FALSE(fixture.LastReply()->error_.has_value());
-    CHECK(fixture.LastReply()->signature_ == "signed");
+    CHECK(fixture.LastReply()->signature_ == "1.2");
   }
 
   SECTION("a write is not sent once the lease has run out")
@@ -225,16 +234,13 @@
 
     fixture.Send(1, StatementKind::Write, "q2");
     fixture.Open("server-1");
+    const ServerLinkId link = fixture.opened_["server-1"];
     const std::size_t before = fixture.Count<SendServerCommand>();
     fixture.now_ += 300ms;
-    ServerAnswer set;
-    set.state_ = fixture.HasOpenTransaction() ? TransactionState::Open
-                                              : TransactionState::Idle;
-    fixture.Step(ServerLinkAnswered{ fixture.opened_["server-1"], set });
+    fixture.Answer(link);
     CHECK(fixture.CountForwarded() == 0);
     fixture.Grant(60s);
-    fixture.Step(
-      ServerLinkAnswered{ fixture.opened_["server-1"], ServerAnswer{} });
+    fixture.Answer(link); // to the rollback, or the write
     fixture.Wait(50ms);
     CHECK(fixture.Count<SendServerCommand>() > before);
   }
@@ -282,7 +288,7 @@
     const ServerLinkId firstLink = fixture.opened_["server-1"];
     fixture.Send(2, StatementKind::Read, "q2");
     fixture.Open("server-1");
-    fixture.Step(ServerLinkAnswered{ firstLink, ServerAnswer{} });
+    fixture.Answer(firstLink);
     fixture.Wait(2s);
     CHECK(fixture.Count<ReportSuspicion>() > 0);
   }
@@ -301,7 +307,7 @@
       const ServerLinkId firstLink = fixture.opened_["server-1"];
       fixture.Send(2, StatementKind::Read, "q2");
       fixture.Open("server-1");
-      fixture.Step(ServerLinkAnswered{ firstLink, ServerAnswer{} });
+      fixture.Answer(firstLink);
       fixture.now_ += 1ms;
       fixture.Answer("server-1");
       fixture.Wait(pause);
@@ -372,8 +378,8 @@
       const ServerLinkId first = 1;
       fixture.Step(ServerLinkLost{ fixture.opened_["server-1"],
                                    SessionError::ConnectionLimit });
-      fixture.Step(ServerLinkAnswered{ first, ServerAnswer{} });
-      fixture.Step(ServerLinkAnswered{ first, ServerAnswer{} });
+      fixture.Answer(first);
+      fixture.Answer(first);
       fixture.Wait(100ms);
       CHECK(fixture.Count<CloseServerLink>() == 1);
     }
@@ -489,10 +495,8 @@
       fixture.Send(id, StatementKind::Write, "w");
       fixture.Open("server-1");
       const std::size_t replies = fixture.Count<SendSessionReply>();
-      ServerAnswer answer;
-      answer.state_ = TransactionState::Open;
-      fixture.Step(ServerLinkAnswered{ fixture.opened_["server-1"], answer });
-      fixture.Step(ServerLinkAnswered{ fixture.opened_["server-1"], answer });
+      fixture.Answer(fixture.opened_["server-1"]);
+      fixture.Answer(fixture.opened_["server-1"]);
       CHECK(fixture.Count<SendSessionReply>() == replies + 1);
     }
     // No more than two links beyond the share.
--- a/tests/limit_gateway_test.cpp
+++ b/tests/limit_gateway_test.cpp
@@ -1,6 +1,7 @@
 // Tests how a Gateway charges operations to the limits of organisations.
 
 #include "gateway/Gateway.h"
+#include "tests/ConnectionAnswers.h"
 
 #include <algorithm>
 
@@ -16,6 +17,7 @@
   Time now_{ 1000s };
   GatewayActions actions_;
   ServerLinkId link_ = 0; // newest link to the server
+  std::map<ServerLinkId, ConnectionAnswers> answers_;
   std::uint64_t grant_ = 0;
   std::shared_ptr<Catalog> catalog_ = std::make_shared<Catalog>();
   ControlState state_;
@@ -88,6 +90,11 @@
     for (std::size_t i = before; i < actions_.size(); i++) {
       if (const auto* open = std::get_if<OpenServerLink>(&actions_[i])) {
         link_ = open->link_;
+        answers_.insert_or_assign(
+          link_, ConnectionAnswers(std::to_string(open->link_)));
+      } else if (const auto* send =
+                   std::get_if<SendServerCommand>(&actions_[i])) {
+        answers_.at(send->link_).Receive(send->command_);
       }
     }
   }
@@ -116,8 +123,8 @@
 
   void Answer(LogPoint aPoint = { 1, 1 })
   {
-    ServerAnswer answer;
-    answer.signature_ = "signed";
+    REQUIRE_FALSE(answers_.at(link_).IsIdle());
+    ServerAnswer answer = answers_.at(link_).AnswerOldest();
     answer.point_ = aPoint;
     Step(ServerLinkAnswered{ link_, answer });
   }
@@ -213,7 +220,6 @@
     {
       fixture.Send(1, StatementKind::Read, "q2");
       fixture.Send(1, StatementKind::Read, "q3");
-      fixture.Answer();
       CHECK(fixture.CountSent() == 1); // q2 waits for a token
       fixture.Grant(0, 1);
       CHECK(fixture.CountSent() == 2);
--- a/tests/organisation_test.cpp
+++ b/tests/organisation_test.cpp
@@ -5,6 +5,7 @@
 #include "gateway/Gateway.h"
 #include "platform/ConfigBody.h"
 #include "platform/LineCodec.h"
+#include "tests/ConnectionAnswers.h"
 #include "tests/OrganisationWorld.h"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
   ControlState state_;
   std::uint64_t index_ = 0;
   Catalog catalog_;
+  std::map<ServerLinkId, ConnectionAnswers> answers_;
 
   explicit OrganisationFixture(const std::optional<KeysByOrganisation>& aKeys)
   {
@@ -124,7 +126,14 @@
 
   void Step(GatewayEvent aEvent)
   {
+    const std::size_t before = actions_.size();
     gateway_.Step(std::move(aEvent), now_, actions_);
+    for (std::size_t i = before; i < actions_.size(); i++) {
+      if (const auto* send = std::get_if<SendServerCommand>(&actions_[i])) {
+        answers_.try_emplace(send->link_, std::to_string(send->link_))
+          .first->second.Receive(send->command_);
+      }
+    }
   }
 
   // Advances the time, with a tick each 10 ms.
@@ -154,12 +163,16 @@
   // Tells the gateway that the link is open.
   void Open(ServerLinkId aLink) { Step(ServerLinkOpened{ aLink }); }
 
+  // Answers the oldest command on the link, after which the transaction has to
+  // be in the state.
   void Answer(ServerLinkId aLink,
               TransactionState aState = TransactionState::Idle)
   {
-    ServerAnswer answer;
+    REQUIRE(answers_.contains(aLink));
+    REQUIRE_FALSE(answers_.at(aLink).IsIdle());
+    ServerAnswer answer = answers_.at(aLink).AnswerOldest();
     answer.point_ = { 1, 1 };
-    answer.state_ = aState;
+    REQUIRE(answer.state_ == aState);
     Step(ServerLinkAnswered{ aLink, answer });
   }
 
@@ -715,9 +728,8 @@
     const ServerLinkId link = fixture.LinksOf("north").at(0);
     fixture.Open(link);
     withdraw();
-    ServerAnswer answer;
-    answer.error_ = SessionError::Overloaded;
-    fixture.Step(ServerLinkAnswered{ link, answer });
+    fixture.Step(ServerLinkAnswered{
+      link, fixture.answers_.at(link).AnswerOldest(SessionError::Overloaded) });
     fixture.Wait(100ms);
     REQUIRE(fixture.RepliesTo(1).size() == 1);
     CHECK(fixture.RepliesTo(1)[0].error_ == SessionError::UnknownKey);
@@ -1194,6 +1206,8 @@
       aTenants + "}");
   };
   OrganisationFixture fixture(KeysByOrganisation{ { "north", { key } } });
+  fixture.catalog_.connectionLimits_["db"] = 78;
+  fixture.Configure();
   const auto open = [&](SessionId aSession, const std::string& aLine) {
     LineCodec::CallerParser parser;
     parser.Push(aLine + "\r\n");
@@ -1206,9 +1220,12 @@
   open(3, "OPEN unknown " + key);
   open(4, "OPEN notices " + key);
   REQUIRE(fixture.IsAccepted(1));
-  fixture.OpenIdleLink(1, "north");
+  const ServerLinkId north = fixture.OpenIdleLink(1, "north");
   fixture.Send(4);
-  fixture.OpenTransaction(1, "north");
+  fixture.Send(1, StatementKind::Begin);
+  fixture.Send(1, StatementKind::Write);
+  fixture.Answer(north, TransactionState::Open); // the begin
+  fixture.Answer(north, TransactionState::Open);
   fixture.Configure(KeysByOrganisation{ { "north", { "other" } } });
 
   std::string written = GatewayMetrics().Write(fixture.gateway_, fixture.now_);
