Tests: servers that answer twice in the session world, failing

Callers got answers to other statements, also of other sessions, and errors that promised that nothing was kept. In SessionWorld no server ever answered twice.

repeats_ is the share of commands that are answered a second time, 0 to 400 ms later, the same in all fields, on the same connection while it is open: also errors, commands of the gateway and the opening of a link. refusals_ is the share of statements that are refused as Overloaded without running.

New checks, in every run of SessionWorld: a success carries the signature and the rows of a run of its own statement; a statement runs in its own transaction (of its session and by number), also one whose caller was answered meanwhile; a write that was refused with a promise inside a transaction is not committed.

--- a/tests/SessionWorld.cpp
+++ b/tests/SessionWorld.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kLeaderClockOffset = 777s;
 constexpr Duration kNetDelay = 1ms;
 constexpr Duration kConnectDelay = 12ms;
+constexpr Duration kMaxRepeatDelay = 400ms; // of a second answer
 constexpr Duration kPromoteDelay = 100ms;
 constexpr Duration kReplaced = 1s; // then an old primary has heard of the new
 constexpr Duration kAge = 1500ms;  // allowed to bounded reads
@@ -216,6 +217,7 @@
         connection.answers_ =
           ConnectionAnswers(fmt::format("{}.{}", key.first, key.second));
         StepGateway(key.first, ServerLinkOpened{ key.second });
+        RepeatAnswer(key, {});
       } else {
         StepGateway(key.first, ServerLinkLost{ key.second, {} });
       }
@@ -293,8 +295,7 @@
     at->second.inbox_.pop_front();
     at->second.busy_ = false;
     ServerAnswer answer = Execute(at->second, command);
-    const bool lost =
-      works && std::uniform_real_distribution<>(0, 1)(random_) < loss_;
+    const bool lost = works && Draw(loss_);
     if (!lost) {
       AnswerLink(aKey, std::move(answer));
     }
@@ -305,6 +306,7 @@
 void
 SessionWorld::AnswerLink(ConnectionKey aKey, ServerAnswer aAnswer)
 {
+  RepeatAnswer(aKey, aAnswer);
   ScheduleAfter(kNetDelay, [this, aKey, answer = std::move(aAnswer)] {
     if (connections_.contains(aKey)) {
       StepGateway(aKey.first, ServerLinkAnswered{ aKey.second, answer });
@@ -312,6 +314,23 @@
   });
 }
 
+// Gives some answers once more, later, while the connection is open.
+void
+SessionWorld::RepeatAnswer(ConnectionKey aKey, const ServerAnswer& aAnswer)
+{
+  if (config_.repeats_ == 0 || !Draw(config_.repeats_)) {
+    return;
+  }
+  const Duration delay(random_() %
+                       static_cast<std::uint64_t>(kMaxRepeatDelay.count()));
+  ScheduleAfter(kNetDelay + delay, [this, aKey, answer = aAnswer] {
+    if (connections_.contains(aKey)) {
+      repeats_++;
+      StepGateway(aKey.first, ServerLinkAnswered{ aKey.second, answer });
+    }
+  });
+}
+
 void
 SessionWorld::LoseLink(ConnectionKey aKey)
 {
@@ -364,11 +383,21 @@
       aConnection.writes_.clear();
       break;
     default:
-      error = ExecuteStatement(aConnection, aCommand);
+      error = config_.refusals_ > 0 && Draw(config_.refusals_)
+                ? SessionError::Overloaded
+                : ExecuteStatement(aConnection, aCommand);
       break;
   }
   ServerAnswer answer = aConnection.answers_.Answer(aCommand, error);
   answer.point_ = { server.term_, server.log_.size() };
+  if (!answer.signature_.empty()) {
+    const auto sent = statements_.find(aCommand.id_);
+    if (sent != statements_.end() &&
+        sent->second.kind_ == StatementKind::Read) {
+      answer.rows_ = { aCommand.id_, answer.signature_ };
+    }
+    runs_[answer.signature_] = { aCommand.id_, answer.rows_ };
+  }
   return answer;
 }
 
@@ -406,13 +435,16 @@
   }
   if (current) {
     Check(aConnection.values_ == caller.values_, "values of another session");
-    Check(aConnection.IsInside() == caller.inside_,
-          "a statement outside its transaction: " + aCommand.id_);
-    if (aConnection.IsInside()) {
-      Check(aConnection.owner_.empty() || aConnection.owner_ == caller.name_,
-            "a statement inside another session's transaction");
-      aConnection.owner_ = caller.name_;
-    }
+  }
+  Check(aConnection.IsInside() == !statement.transaction_.empty(),
+        "a statement outside its transaction: " + aCommand.id_);
+  if (aConnection.IsInside()) {
+    Check(aConnection.owner_.empty() ||
+            aConnection.owner_ == statement.transaction_,
+          fmt::format("a statement inside another transaction: {} in {}",
+                      aCommand.id_,
+                      aConnection.owner_));
+    aConnection.owner_ = statement.transaction_;
   }
   if (aConnection.answers_.State() == TransactionState::Failed) {
     aConnection.writes_.clear();
@@ -463,7 +495,8 @@
                         const Connection& aConnection)
 {
   const auto shows = [&](const std::string& aValue, const Fate& aFate) {
-    const bool logged = aFate.position_ <= aServer.log_.size() &&
+    const bool logged = aFate.position_ > 0 && // else it was not committed
+                        aFate.position_ <= aServer.log_.size() &&
                         aServer.log_[aFate.position_ - 1].value_ == aValue;
     return logged || std::any_of(aConnection.writes_.begin(),
                                  aConnection.writes_.end(),
--- a/tests/SessionWorld.h
+++ b/tests/SessionWorld.h
@@ -8,8 +8,8 @@
 //   world.Failures();   // empty if every promise held
 //
 // The same seed gives the same run. Faults: servers that crash, fall behind,
-// lose answers or hold them; gateways that freeze; changes of primary that
-// wait for the leases.
+// lose answers, hold them, or give them twice; gateways that freeze; changes of
+// primary that wait for the leases.
 
 #include "control/LeaseTable.h"
 #include "control/PrimaryPoints.h"
@@ -37,6 +37,10 @@
   // Servers say that they leave, some of them all at the same time, and stay
   // again after the drain bound. The news reaches some gateways late.
   bool leavings_ = false;
+  // Share of the commands that servers answer a second time, later.
+  double repeats_ = 0;
+  // Share of the statements that servers refuse for lack of capacity.
+  double refusals_ = 0;
 };
 
 // A server that says that it leaves is given new work for less than this time.
@@ -55,6 +59,7 @@
   std::size_t Refused() const { return refused_; }
   std::size_t Promotions() const { return promotions_; }
   std::size_t Leavings() const { return leavings_; }
+  std::size_t Repeats() const { return repeats_; }
 
   // Faults by hand.
   void CrashServer(std::size_t aServer);
@@ -82,7 +87,7 @@
     std::map<std::string, std::string> values_;
     std::map<std::string, std::pair<bool, std::string>> prepared_;
     std::vector<Commit> writes_; // of the open transaction
-    std::string owner_;          // session that began the transaction
+    std::string owner_;          // transaction of a caller
     std::deque<ServerCommand> inbox_;
     bool busy_ = false;
 
@@ -115,6 +120,7 @@
     Time sentAt_;       // of the statement, or of its transaction's begin
     bool inside_ = false;
     bool reads_ = false;
+    std::size_t transactions_ = 0; // begun so far
     std::map<std::string, std::string> txWrites_;
     int left_ = 0;              // statements until the transaction ends
     std::set<std::string> own_; // values acknowledged to this session
@@ -126,7 +132,15 @@
     std::size_t caller_ = 0;
     StatementKind kind_ = StatementKind::Malformed;
     std::string item_;
-    std::string value_; // that is written
+    std::string value_;       // that is written
+    std::string transaction_; // of the caller; empty: none
+  };
+
+  // A run of a statement at a server.
+  struct StatementRun
+  {
+    std::string id_; // of the statement
+    std::vector<std::string> rows_;
   };
 
   // What the world knows of one written value.
@@ -152,6 +166,7 @@
   void Receive(ConnectionKey aKey, ServerCommand aCommand);
   void RunNext(ConnectionKey aKey);
   void AnswerLink(ConnectionKey aKey, ServerAnswer aAnswer);
+  void RepeatAnswer(ConnectionKey aKey, const ServerAnswer& aAnswer);
   void LoseLink(ConnectionKey aKey);
   void Apply(wire::Change aChange);
   void Grant(std::size_t aGateway, const wire::LeaseRequest& aRequest);
@@ -159,6 +174,8 @@
   ServerAnswer Execute(Connection& aConnection, const ServerCommand& aCommand);
   std::optional<SessionError> ExecuteStatement(Connection& aConnection,
                                                const ServerCommand& aCommand);
+  // Checks that a success is that of the caller's own statement.
+  void CheckSuccess(const std::string& aId, const SessionReply& aReply);
   void CheckRead(const Server& aServer,
                  const Caller& aCaller,
                  const Connection& aConnection);
@@ -170,6 +187,8 @@
   void Act(std::size_t aCaller);
   void Send(std::size_t aCaller, SessionStatement aStatement);
   void Answered(std::size_t aCaller, const SessionReply& aReply);
+  // Returns true with the probability.
+  bool Draw(double aProbability);
   void Disturb();
   void AnnounceServer(std::size_t aServer);
   void LeaveServers();
@@ -184,6 +203,7 @@
   std::map<ConnectionKey, Connection> connections_;
   std::vector<Caller> callers_;
   std::map<std::string, SentStatement> statements_; // by id
+  std::map<std::string, StatementRun> runs_;        // by signature
   std::map<std::string, Fate> fates_;               // by written value
   std::vector<std::string> acknowledged_;           // values, in order
   ControlState state_;
@@ -199,6 +219,7 @@
   std::size_t refused_ = 0;
   std::size_t promotions_ = 0;
   std::size_t leavings_ = 0;
+  std::size_t repeats_ = 0;
   std::vector<std::string> failures_;
 };
 
--- a/tests/SessionWorldCallers.cpp
+++ b/tests/SessionWorldCallers.cpp
@@ -18,8 +18,30 @@
          aError == SessionError::ConnectionLimit;
 }
 
+// Returns true for statements that only a server answers.
+bool
+IsForwarded(StatementKind aKind)
+{
+  return aKind == StatementKind::Read || aKind == StatementKind::Write ||
+         aKind == StatementKind::Execute || aKind == StatementKind::Commit;
+}
+
 } // namespace
 
+void
+SessionWorld::CheckSuccess(const std::string& aId, const SessionReply& aReply)
+{
+  const auto run = runs_.find(aReply.signature_);
+  const std::string signedId = run == runs_.end() ? "none" : run->second.id_;
+  Check(signedId == aId,
+        fmt::format("{} is answered with the run {} of {}",
+                    aId,
+                    aReply.signature_,
+                    signedId));
+  Check(run == runs_.end() || run->second.rows_ == aReply.rows_,
+        "the rows of another run than the signature: " + aId);
+}
+
 void
 SessionWorld::Send(std::size_t aCaller, SessionStatement aStatement)
 {
@@ -31,7 +53,13 @@
     caller.sentAt_ = now_;
   }
   statements_[aStatement.id_] = {
-    aCaller, aStatement.kind_, caller.item_, caller.value_
+    .caller_ = aCaller,
+    .kind_ = aStatement.kind_,
+    .item_ = caller.item_,
+    .value_ = caller.value_,
+    .transaction_ = caller.inside_
+                      ? fmt::format("{}/{}", caller.name_, caller.transactions_)
+                      : std::string(),
   };
   StepGateway(
     caller.gateway_,
@@ -101,9 +129,12 @@
 {
   Caller& caller = callers_[aCaller];
   Check(!caller.waiting_.empty(), "an answer to nothing");
-  caller.waiting_.clear();
+  const std::string id = std::exchange(caller.waiting_, {});
   const bool failed = aReply.error_.has_value();
   (failed ? refused_ : done_)++;
+  if (!failed && IsForwarded(caller.kind_)) {
+    CheckSuccess(id, aReply);
+  }
   const auto settle = [&](const std::string& aValue, bool aAcknowledged) {
     Fate& fate = fates_[aValue];
     if (aAcknowledged) {
@@ -138,10 +169,17 @@
     caller.reads_ = false;
   } else if (caller.inside_ && failed) {
     caller.left_ = 0;
+    const bool wrote = caller.kind_ == StatementKind::Write ||
+                       caller.kind_ == StatementKind::Execute;
+    if (wrote && caller.txWrites_.erase(caller.value_) > 0 &&
+        IsPromise(*aReply.error_)) {
+      settle(caller.value_, false);
+    }
   }
   if (!failed && (caller.kind_ == StatementKind::Begin ||
                   caller.kind_ == StatementKind::BeginReadOnly)) {
     caller.inside_ = true;
+    caller.transactions_++;
   }
   ScheduleAfter(Duration(1000 + random_() % 20'000),
                 [this, aCaller] { Act(aCaller); });
--- a/tests/SessionWorldFaults.cpp
+++ b/tests/SessionWorldFaults.cpp
@@ -31,6 +31,12 @@
     servers_[aServer].primary_ && Primary() == aServer;
 }
 
+bool
+SessionWorld::Draw(double aProbability)
+{
+  return std::uniform_real_distribution<>(0, 1)(random_) < aProbability;
+}
+
 void
 SessionWorld::Disturb()
 {
