Gateway: an answer counts only for the command that it can belong to

Cause: a link gave each answer to its oldest unanswered command, and dropped one that came while nothing was unanswered. A server that answers twice, the second time late, shifts all later answers of the link by one.

Change: AnswerMatcher decides for each answer. A repeated signature, an answer without one to a statement, or one whose transaction state can't follow from the command belongs to an earlier command and is left out; a signed answer that nobody waits for closes the link. An error carries nothing of its own but the log position: the same error at the same position may be either. Reads then run again elsewhere; for any other statement a RESET is sent after it, whose answer shows by a newer position that the statement has been answered. A begin whose answer may be an earlier one is not followed by a write. Log points of answers that are not signed are no longer recorded: an old one, taken as of now, would let a read miss commits.

Ruled out: closing the link after each error.

--- a/gateway/AnswerMatcher.cpp
+++ b/gateway/AnswerMatcher.cpp
@@ -2,22 +2,31 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 namespace jaydoor {
 namespace {
 
+// Returns a digest of what no other answer on the connection has: the
+// signature, or the error with the position of the log.
 std::uint64_t
-MakeDigest(std::string_view aSignature)
+MakeDigest(const ServerAnswer& aAnswer)
 {
-  return XXH3_64bits(aSignature.data(), aSignature.size());
+  const std::string text = aAnswer.error_
+                             ? fmt::format("{} {}.{} {}",
+                                           static_cast<int>(*aAnswer.error_),
+                                           aAnswer.point_.term_,
+                                           aAnswer.point_.position_,
+                                           aAnswer.errorText_)
+                             : aAnswer.signature_;
+  return XXH3_64bits(text.data(), text.size());
 }
 
-// Returns true for commands that run a caller's statement.
-bool
-RunsStatement(CommandKind aKind)
+std::size_t
+GetIndex(TransactionState aState)
 {
-  return aKind == CommandKind::Forward || aKind == CommandKind::Execute;
+  return static_cast<std::size_t>(aState);
 }
 
 } // namespace
@@ -32,6 +41,10 @@
       return "repeated";
     case AnswerVerdict::Ambiguous:
       return "ambiguous";
+    case AnswerVerdict::Confirmed:
+      return "confirmed";
+    case AnswerVerdict::Undecided:
+      return "undecided";
     case AnswerVerdict::Unexpected:
       return "unexpected";
   }
@@ -39,11 +52,32 @@
 }
 
 bool
-AnswerMatcher::IsKnown(std::string_view aSignature) const
+RunsStatement(CommandKind aKind)
 {
-  return std::find(signatures_.begin(),
-                   signatures_.end(),
-                   MakeDigest(aSignature)) != signatures_.end();
+  return aKind == CommandKind::Forward || aKind == CommandKind::Execute;
+}
+
+bool
+AnswerMatcher::IsKnown(const ServerAnswer& aAnswer) const
+{
+  return std::find(knownAnswers_.begin(),
+                   knownAnswers_.end(),
+                   MakeDigest(aAnswer)) != knownAnswers_.end();
+}
+
+// Returns true if the answer, which is not signed, can't repeat an earlier one.
+bool
+AnswerMatcher::IsNew(const ServerAnswer& aAnswer) const
+{
+  const auto& highest = unsignedPoints_.at(GetIndex(aAnswer.state_));
+  return !highest || *highest < aAnswer.point_;
+}
+
+void
+AnswerMatcher::RecordUnsigned(const ServerAnswer& aAnswer)
+{
+  auto& highest = unsignedPoints_.at(GetIndex(aAnswer.state_));
+  highest = std::max(highest.value_or(LogPoint{}), aAnswer.point_);
 }
 
 // Returns the state of the transaction after the command has succeeded.
@@ -62,14 +96,54 @@
 }
 
 AnswerVerdict
-AnswerMatcher::CheckError(SessionError aError) const
+AnswerMatcher::CheckError(const ServerAnswer& aAnswer) const
 {
-  const bool isKnown =
-    std::find(errors_.begin(), errors_.end(), aError) != errors_.end();
-  if (expected_.empty()) {
+  const bool isKnown = IsKnown(aAnswer);
+  if (IsIdle()) {
     return isKnown ? AnswerVerdict::Repeated : AnswerVerdict::Unexpected;
   }
-  return isKnown ? AnswerVerdict::Ambiguous : AnswerVerdict::Matches;
+  const ExpectedAnswer& oldest = expected_.front();
+  if (!isKnown) {
+    // A statement in a transaction does not fail outside of one, unless the
+    // error is that of a begin that was taken for successful.
+    const bool wasInside = state_ != TransactionState::Idle;
+    const bool isInside = aAnswer.state_ != TransactionState::Idle;
+    const bool fits = isInside == wasInside || oldest.endsTransaction_;
+    return fits ? AnswerVerdict::Matches : AnswerVerdict::Unexpected;
+  }
+  if (held_) {
+    return AnswerVerdict::Repeated;
+  }
+  // A failed transaction accepts no probe. Of the gateway's commands, only
+  // those that begin a transaction fail.
+  if (RunsStatement(oldest.kind_)) {
+    return aAnswer.state_ == state_ ? AnswerVerdict::Ambiguous
+                                    : AnswerVerdict::Unexpected;
+  }
+  return StateAfter(oldest) == TransactionState::Open &&
+             state_ == TransactionState::Idle
+           ? AnswerVerdict::Unexpected
+           : AnswerVerdict::Repeated;
+}
+
+// Returns true if the answer can't be that to the oldest command, but can be
+// that to a probe after it.
+bool
+AnswerMatcher::IsProbeAnswer(const ServerAnswer& aAnswer) const
+{
+  return held_ && expected_.size() > undecidedAnswers_ + 1 && !aAnswer.error_ &&
+         aAnswer.signature_.empty() && aAnswer.state_ == state_;
+}
+
+AnswerVerdict
+AnswerMatcher::CheckProbe(const ServerAnswer& aAnswer) const
+{
+  if (isInStep_ && IsNew(aAnswer)) {
+    return AnswerVerdict::Confirmed;
+  }
+  return isInStep_ && undecidedAnswers_ + 1 < kMaxProbes
+           ? AnswerVerdict::Undecided
+           : AnswerVerdict::Unexpected;
 }
 
 AnswerVerdict
@@ -79,22 +153,28 @@
     return AnswerVerdict::Repeated; // of the answer to the opening
   }
   if (aAnswer.error_) {
-    return CheckError(*aAnswer.error_);
+    return CheckError(aAnswer);
   }
   const bool isSigned = !aAnswer.signature_.empty();
-  if (isSigned && IsKnown(aAnswer.signature_)) {
+  if (isSigned && IsKnown(aAnswer)) {
     return AnswerVerdict::Repeated;
   }
-  if (expected_.empty()) {
+  if (IsIdle()) {
     return isSigned ? AnswerVerdict::Unexpected : AnswerVerdict::Repeated;
   }
+  if (IsProbeAnswer(aAnswer)) {
+    return CheckProbe(aAnswer);
+  }
   const ExpectedAnswer& oldest = expected_.front();
   const bool fits = isSigned == RunsStatement(oldest.kind_) &&
                     aAnswer.state_ == StateAfter(oldest);
-  if (fits) {
-    return AnswerVerdict::Matches;
+  if (!fits) {
+    return isSigned ? AnswerVerdict::Unexpected : AnswerVerdict::Repeated;
   }
-  return isSigned ? AnswerVerdict::Unexpected : AnswerVerdict::Repeated;
+  // If the begin has failed, a write after it would be committed at once.
+  return oldest.kind_ == CommandKind::Begin && !IsNew(aAnswer)
+           ? AnswerVerdict::Unexpected
+           : AnswerVerdict::Matches;
 }
 
 CommandKind
@@ -102,19 +182,49 @@
 {
   const CommandKind kind = expected_.front().kind_;
   expected_.pop_front();
+  held_.reset();
+  undecidedAnswers_ = 0;
   state_ = aAnswer.state_;
-  if (aAnswer.error_) {
-    errors_.push_back(*aAnswer.error_);
-  } else if (!aAnswer.signature_.empty()) {
-    const std::uint64_t digest = MakeDigest(aAnswer.signature_);
-    if (signatures_.size() < kMaxSignatures) {
-      signatures_.push_back(digest);
-    } else {
-      signatures_[nextSignature_] = digest;
-      nextSignature_ = (nextSignature_ + 1) % kMaxSignatures;
-    }
+  if (!aAnswer.error_ && aAnswer.signature_.empty()) {
+    isInStep_ = isInStep_ && IsNew(aAnswer);
+    RecordUnsigned(aAnswer);
+    return kind;
+  }
+  isInStep_ = isInStep_ || !aAnswer.error_;
+  const std::uint64_t digest = MakeDigest(aAnswer);
+  if (knownAnswers_.size() < kMaxKnownAnswers) {
+    knownAnswers_.push_back(digest);
+  } else {
+    knownAnswers_[nextKnownAnswer_] = digest;
+    nextKnownAnswer_ = (nextKnownAnswer_ + 1) % kMaxKnownAnswers;
   }
   return kind;
 }
 
+void
+AnswerMatcher::Ignore(const ServerAnswer& aAnswer)
+{
+  if (!aAnswer.hasResult_ || aAnswer.error_ || !aAnswer.signature_.empty()) {
+    return;
+  }
+  undecidedAnswers_ += IsProbeAnswer(aAnswer) ? 1U : 0U;
+  RecordUnsigned(aAnswer);
+}
+
+std::pair<CommandKind, ServerAnswer>
+AnswerMatcher::AcceptHeld(const ServerAnswer& aProbe)
+{
+  ServerAnswer error = std::move(*held_);
+  const std::size_t undecided = undecidedAnswers_;
+  const CommandKind kind = Accept(error);
+  Accept(aProbe);
+  // The answers so far were those to earlier probes, or repetitions: then some
+  // of these are still to come.
+  for (std::size_t i = 0; i < undecided; i++) {
+    expected_.pop_front();
+    isInStep_ = false;
+  }
+  return { kind, std::move(error) };
+}
+
 } // namespace jaydoor
--- a/gateway/AnswerMatcher.h
+++ b/gateway/AnswerMatcher.h
@@ -15,15 +15,21 @@
 // - Each run of a statement is signed with a signature of its own; commands of
 //   the gateway are answered without one.
 // - The state of the transaction after the command.
-// - Nothing, for an error: any later error with the same code may be a
-//   repetition. A connection that has had an error is therefore not used for
-//   further sessions, and inside its transaction a second error with the same
-//   code proves nothing.
+// - Otherwise only the position of the server's log: as long as the log does
+//   not grow, the same answer once more may be either.
+//
+// An error that may be either is held, and a command without effect, the probe,
+// is sent after the statement: if its answer comes next, the error was the
+// statement's. This too is known only if the answer is a new one, or a later
+// probe's is.
 
 #include "gateway/SessionTypes.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace jaydoor {
@@ -41,9 +47,16 @@
   // Belongs to an earlier command, so that the one to the oldest command is
   // still to come.
   Repeated,
-  // May be the answer to the oldest command, or an earlier error once more.
+  // An error that may be the answer to the oldest command, a statement, or an
+  // earlier one once more. It has to be held.
   Ambiguous,
-  // Belongs to no known command: the connection is out of step.
+  // Answers a probe, so that the error that is held belongs to the oldest
+  // command.
+  Confirmed,
+  // Answers a probe or repeats an earlier answer: another probe may tell.
+  Undecided,
+  // Belongs to no known command, or can't be told: the connection has to be
+  // closed.
   Unexpected,
 };
 
@@ -51,6 +64,10 @@
 std::string_view
 GetVerdictName(AnswerVerdict aVerdict);
 
+// Returns true for commands that run a caller's statement.
+bool
+RunsStatement(CommandKind aKind);
+
 class AnswerMatcher
 {
 public:
@@ -58,27 +75,47 @@
   // Returns how many commands have no answer.
   std::size_t CountUnanswered() const { return expected_.size(); }
   bool IsIdle() const { return expected_.empty(); }
-  bool HasHadError() const { return !errors_.empty(); }
 
   AnswerVerdict Check(const ServerAnswer& aAnswer) const;
   // Records the answer to the oldest unanswered command and returns that
   // command's kind.
   CommandKind Accept(const ServerAnswer& aAnswer);
+  // Records an answer that is not taken for that to any command.
+  void Ignore(const ServerAnswer& aAnswer);
+  // Holds an ambiguous error until the next answer. A probe has to be sent.
+  void Hold(ServerAnswer aError) { held_ = std::move(aError); }
+  // Records the error that is held and the answer to the probe, which confirms
+  // it. Returns the kind of the command that failed, and the error.
+  std::pair<CommandKind, ServerAnswer> AcceptHeld(const ServerAnswer& aProbe);
 
 private:
-  // Signatures that are remembered: the number of statements in which a
-  // repetition is recognised. Two seconds of statements of 8 ms.
-  static constexpr std::size_t kMaxSignatures = 256;
+  // Answers that are remembered, so that their repetition is recognised: those
+  // of two seconds, for statements of 8 ms.
+  static constexpr std::size_t kMaxKnownAnswers = 256;
+  // Probes for one error after which the connection is given up: in their time,
+  // four times 15 ms, a server that is busy with writes has committed some.
+  static constexpr std::size_t kMaxProbes = 4;
 
-  bool IsKnown(std::string_view aSignature) const;
-  AnswerVerdict CheckError(SessionError aError) const;
+  bool IsKnown(const ServerAnswer& aAnswer) const;
+  bool IsNew(const ServerAnswer& aAnswer) const;
+  bool IsProbeAnswer(const ServerAnswer& aAnswer) const;
+  AnswerVerdict CheckError(const ServerAnswer& aAnswer) const;
+  AnswerVerdict CheckProbe(const ServerAnswer& aAnswer) const;
   TransactionState StateAfter(const ExpectedAnswer& aCommand) const;
+  void RecordUnsigned(const ServerAnswer& aAnswer);
 
   std::deque<ExpectedAnswer> expected_; // of unanswered commands, oldest first
   TransactionState state_ = TransactionState::Idle; // after the last answer
-  std::vector<std::uint64_t> signatures_;           // digests
-  std::size_t nextSignature_ = 0; // overwritten next, once there are enough
-  std::vector<SessionError> errors_;
+  std::vector<std::uint64_t> knownAnswers_; // digests of signatures and errors
+  std::size_t nextKnownAnswer_ = 0; // overwritten next, once there are enough
+  // Highest log point of the answers without a signature, by the state of the
+  // transaction.
+  std::array<std::optional<LogPoint>, 3> unsignedPoints_;
+  // No answer to an accepted command can be still to come: true since a signed
+  // answer, unless one without a signature may have been a repetition.
+  bool isInStep_ = true;
+  std::optional<ServerAnswer> held_;
+  std::size_t undecidedAnswers_ = 0; // to probes for the error that is held
 };
 
 } // namespace jaydoor
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -453,6 +453,7 @@
     std::map<std::string, ValueDigest> values_; // session values set on it
     std::set<std::string> prepared_;  // prepared statements, by server name
     AnswerMatcher answers_;           // to the commands sent on it
+    std::optional<Time> probeAt_;     // a probe has to be sent
     ServerCommand nextCommand_;       // sent once all commands are answered
     bool hasNextCommand_ = false;     // nextCommand_ is set
     Time openedAt_;                   // opening was requested
@@ -587,6 +588,17 @@
   void Handle(ServerLinkOpened& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(ServerLinkLost& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(ServerLinkAnswered& aEvent, Time aNow, GatewayActions& aOut);
+  void HandleAmbiguousError(ServerLinkId aLink,
+                            ServerAnswer aError,
+                            Time aNow,
+                            GatewayActions& aOut);
+  void RetryRefusedWork(WorkId aId,
+                        const ServerId& aServer,
+                        Time aMinPointAt,
+                        const ServerAnswer& aAnswer,
+                        Time aNow,
+                        GatewayActions& aOut);
+  void SendProbe(ServerLinkId aLink, Time aNow, GatewayActions& aOut);
   void ReportUnmatched(ServerLinkId,
                        const ServerAnswer&,
                        AnswerVerdict,
--- a/gateway/GatewaySending.cpp
+++ b/gateway/GatewaySending.cpp
@@ -245,6 +245,18 @@
   return leased && MayTakeWork(servers_.at(link.server_), aNow);
 }
 
+// Sends a command after a statement, so that the order of the answers shows
+// whether the statement has been answered. The session's values are set again
+// before the next statement.
+void
+Gateway::SendProbe(ServerLinkId aLink, Time aNow, GatewayActions& aOut)
+{
+  Link& link = links_.at(aLink);
+  SendCommand(aLink, ServerCommand(CommandKind::Reset), aNow, aOut);
+  link.values_.clear();
+  link.prepared_.clear();
+}
+
 // Releases a link whose statement has not been sent, and queues the statement
 // again.
 void
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -22,6 +22,11 @@
 // Delay before a statement that was refused inside a transaction is sent to the
 // same server again: it can't run on another one.
 constexpr Duration kResendDelay = 15ms;
+// Delay before a probe is sent after an error that may be a repetition. By then
+// the server's log is likely to have grown, which makes the probe's answer one
+// that can't be a repetition. A statement that was refused waits as long
+// anyway.
+constexpr Duration kProbeDelay = kResendDelay;
 // Time without new connections after the first failed one. It doubles with each
 // further failure, up to the maximum.
 constexpr Duration kMinReconnectDelay = 50ms;
@@ -325,17 +330,43 @@
   }
   Link& link = found->second;
   const AnswerVerdict verdict = link.answers_.Check(aEvent.answer_);
-  if (verdict != AnswerVerdict::Matches) {
-    ReportUnmatched(aEvent.link_, aEvent.answer_, verdict, aOut);
-  }
-  if (link.answers_.IsIdle()) {
-    return;
+  switch (verdict) {
+    case AnswerVerdict::Matches:
+    case AnswerVerdict::Confirmed:
+      break;
+    case AnswerVerdict::Repeated:
+      ReportUnmatched(aEvent.link_, aEvent.answer_, verdict, aOut);
+      link.answers_.Ignore(aEvent.answer_);
+      return;
+    case AnswerVerdict::Undecided:
+      link.answers_.Ignore(aEvent.answer_);
+      link.probeAt_ = aNow + kProbeDelay;
+      return;
+    case AnswerVerdict::Ambiguous:
+      counters_.answersAmbiguous_++;
+      HandleAmbiguousError(aEvent.link_, std::move(aEvent.answer_), aNow, aOut);
+      return;
+    case AnswerVerdict::Unexpected:
+      // What its commands have done is as unknown as if it had broken.
+      ReportUnmatched(aEvent.link_, aEvent.answer_, verdict, aOut);
+      CloseLink(aEvent.link_, aOut);
+      RemoveLink(aEvent.link_, aNow, aOut);
+      return;
   }
+  link.probeAt_.reset();
   link.heardAt_ = aNow;
   Server& server = servers_.at(link.server_);
   RecordContact(server, aNow, aOut);
-  RecordPoint(link, aEvent.answer_.point_, aNow);
-  const CommandKind kind = link.answers_.Accept(aEvent.answer_);
+  if (!aEvent.answer_.signature_.empty()) {
+    // Any other answer may repeat an earlier one, with the point of that time.
+    RecordPoint(link, aEvent.answer_.point_, aNow);
+  }
+  CommandKind kind{};
+  if (verdict == AnswerVerdict::Confirmed) {
+    std::tie(kind, aEvent.answer_) = link.answers_.AcceptHeld(aEvent.answer_);
+  } else {
+    kind = link.answers_.Accept(aEvent.answer_);
+  }
   if (kind != CommandKind::Forward && kind != CommandKind::Execute) {
     HandleSetupAnswer(aEvent.link_, kind, aEvent.answer_, aNow, aOut);
     return;
@@ -362,7 +393,35 @@
   }
 }
 
-// Logs and counts an answer that is not known to belong to the link's oldest
+// Handles an error that may be the answer to the link's statement or to an
+// earlier one. A read runs again elsewhere, whether it has run here or not; any
+// other statement waits until it is known.
+void
+Gateway::HandleAmbiguousError(ServerLinkId aLink,
+                              ServerAnswer aError,
+                              Time aNow,
+                              GatewayActions& aOut)
+{
+  Link& link = links_.at(aLink);
+  link.probeAt_ = aNow + kProbeDelay;
+  link.answers_.Hold(aError);
+  const WorkId id = link.work_;
+  const auto work = work_.find(id);
+  const bool canRetry = work != work_.end() && work->second.repeatable_ &&
+                        work->second.session_ != 0 &&
+                        work->second.links_.contains(aLink);
+  if (!canRetry) {
+    return;
+  }
+  RecordResponse(servers_.at(link.server_), link, aError.error_, aNow);
+  FreeSlot(link);
+  link.work_ = 0;
+  link.session_ = 0;
+  work->second.links_.erase(aLink);
+  RetryRefusedWork(id, link.server_, link.minPointAt_, aError, aNow, aOut);
+}
+
+// Logs and counts an answer that does not belong to the link's oldest
 // unanswered command.
 void
 Gateway::ReportUnmatched(ServerLinkId aLink,
@@ -371,9 +430,8 @@
                          GatewayActions& aOut)
 {
   const Link& link = links_.at(aLink);
-  (aVerdict == AnswerVerdict::Repeated    ? counters_.answersRepeated_
-   : aVerdict == AnswerVerdict::Ambiguous ? counters_.answersAmbiguous_
-                                          : counters_.answersUnexpected_)++;
+  (aVerdict == AnswerVerdict::Repeated ? counters_.answersRepeated_
+                                       : counters_.answersUnexpected_)++;
   aOut.push_back(WriteLogEvent{
     Event::AnswerUnmatched,
     fmt::format("server={} link={} verdict={} unanswered={} signature={} "
@@ -458,7 +516,6 @@
   Work& work = work_.at(aId);
   Link& link = links_.at(aLink);
   const ServerId serverId = link.server_;
-  Server& server = servers_.at(serverId);
   const auto found = sessions_.find(work.session_);
   if (found == sessions_.end()) {
     const bool isIdle = aAnswer.state_ == TransactionState::Idle;
@@ -470,9 +527,9 @@
   Session& session = found->second;
   const bool inTransaction = session.txState_ != TxState::None;
   const bool isCommit = work.statement_.kind_ == StatementKind::Commit;
-  if (aAnswer.error_ == SessionError::Overloaded) {
+  if (inTransaction && aAnswer.error_ == SessionError::Overloaded) {
     counters_.serverBusy_++;
-    server.fullUntil_ = aNow + kServerFullDelay;
+    servers_.at(serverId).fullUntil_ = aNow + kServerFullDelay;
   }
   if (inTransaction && work.beginsTx_) {
     session.txLink_ = aLink;
@@ -490,9 +547,6 @@
   }
   if (!inTransaction && aAnswer.error_) {
     const Time minPointAt = link.minPointAt_;
-    const bool canRetry =
-      IsNotRun(*aAnswer.error_) ||
-      (work.repeatable_ && *aAnswer.error_ != SessionError::Other);
     const bool isIdle = aAnswer.state_ == TransactionState::Idle;
     link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
     if (*aAnswer.error_ == SessionError::NoStatement) {
@@ -500,17 +554,7 @@
     }
     ReleaseLink(aLink, aNow, aOut);
     work.links_.erase(aLink);
-    if (*aAnswer.error_ == SessionError::Behind) {
-      counters_.serverBehind_++;
-      groups_.at(work.route_.group_)
-        .log_.RecordReplicaBehind(serverId, aNow, minPointAt);
-      work.excludedServers_.insert(serverId);
-    }
-    if (canRetry) {
-      RetryOrFailWork(aId, *aAnswer.error_, aAnswer.errorText_, aNow, aOut);
-    } else {
-      FailWork(aId, *aAnswer.error_, aAnswer.errorText_, aNow, aOut);
-    }
+    RetryRefusedWork(aId, serverId, minPointAt, aAnswer, aNow, aOut);
     return;
   }
   // A write is acknowledged only under a valid lease: without it, another
@@ -595,6 +639,37 @@
 
 // ---- 3. The end of a statement
 
+// Handles the error of a statement outside a transaction, which no longer runs
+// on the server.
+void
+Gateway::RetryRefusedWork(WorkId aId,
+                          const ServerId& aServer,
+                          Time aMinPointAt,
+                          const ServerAnswer& aAnswer,
+                          Time aNow,
+                          GatewayActions& aOut)
+{
+  Work& work = work_.at(aId);
+  const SessionError error = *aAnswer.error_;
+  if (error == SessionError::Overloaded) {
+    counters_.serverBusy_++;
+    servers_.at(aServer).fullUntil_ = aNow + kServerFullDelay;
+  }
+  if (error == SessionError::Behind) {
+    counters_.serverBehind_++;
+    groups_.at(work.route_.group_)
+      .log_.RecordReplicaBehind(aServer, aNow, aMinPointAt);
+    work.excludedServers_.insert(aServer);
+  }
+  const bool canRetry =
+    IsNotRun(error) || (work.repeatable_ && error != SessionError::Other);
+  if (canRetry) {
+    RetryOrFailWork(aId, error, aAnswer.errorText_, aNow, aOut);
+  } else {
+    FailWork(aId, error, aAnswer.errorText_, aNow, aOut);
+  }
+}
+
 // Removes a statement whose session has ended.
 void
 Gateway::DropWork(WorkId aId)
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -536,6 +536,10 @@
   std::vector<ServerLinkId> lost;
   std::vector<ServerLinkId> expiredLinks;
   for (auto& [id, link] : links_) {
+    if (link.probeAt_ && aNow >= *link.probeAt_) {
+      link.probeAt_.reset();
+      SendProbe(id, aNow, aOut);
+    }
     const bool openTimedOut =
       link.state_ == LinkState::Opening && aNow - link.openedAt_ > kOpenTimeout;
     const bool isWaiting =
