Fuzz: texts with CR or LF alone arrive whole through both parsers

A target that sends each part of its input as the last field of valid messages, of callers (WRITE, SET, EXECUTE) and servers (ROW, ERROR), cut in pieces, and expects as many messages with the same texts.

--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -9,8 +9,11 @@
 #include "platform/NodeFile.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 namespace jaydoor::fuzz {
@@ -44,6 +47,111 @@
   platform::LineCodec::ReadStatus(answer);
 }
 
+// Pushes the bytes in pieces, as above, and returns all messages.
+template<typename Parser>
+auto
+CollectMessages(std::string_view aBytes)
+{
+  Parser parser;
+  std::vector<std::decay_t<decltype(*parser.Next())>> messages;
+  while (!aBytes.empty()) {
+    const std::size_t size = std::min<std::size_t>(
+      aBytes.size(), 1U + static_cast<unsigned char>(aBytes.back()) % 64U);
+    parser.Push(aBytes.substr(0, size));
+    aBytes.remove_prefix(size);
+    for (std::size_t i = 0; i < size + 1; i++) {
+      auto message = parser.Next();
+      if (!message) {
+        break;
+      }
+      messages.push_back(std::move(*message));
+    }
+  }
+  return messages;
+}
+
+void
+Require(bool aHolds, std::string_view aWhat)
+{
+  if (!aHolds) {
+    std::cerr << "failed: " << aWhat << std::endl;
+    std::abort();
+  }
+}
+
+// The last field of a message may hold any bytes except CR LF, which ends the
+// message.
+std::string
+MakeLastField(std::string_view aBytes)
+{
+  std::string field;
+  for (const char byte : aBytes) {
+    if (byte != '\n' || !field.ends_with('\r')) {
+      field += byte;
+    }
+  }
+  return field;
+}
+
+// Sends each part of the bytes as the last field of a valid message, and
+// expects all messages to arrive as they were sent.
+void
+SendTextsOfCallers(std::span<const std::string> aTexts)
+{
+  constexpr std::array kVerbs = { "WRITE k ", "SET n ", "EXECUTE p k " };
+  std::string bytes;
+  std::vector<std::string> sent;
+  for (const auto& text : aTexts) {
+    sent.push_back(kVerbs[sent.size() % kVerbs.size()] + text);
+    bytes += "QUERY id " + sent.back() + "\r\n";
+  }
+  const auto messages =
+    CollectMessages<platform::LineCodec::CallerParser>(bytes);
+  Require(messages.size() == sent.size(), "one message for each statement");
+  for (std::size_t i = 0; i < sent.size(); i++) {
+    Require(messages[i].kind_ == CallerMessage::Kind::Statement &&
+              messages[i].statement_.text_ == sent[i],
+            "the text of a statement arrives whole");
+  }
+}
+
+void
+SendTextsOfServers(std::span<const std::string> aTexts)
+{
+  std::string bytes;
+  for (const auto& text : aTexts) {
+    bytes +=
+      "ROW " + text + "\r\nROW " + text + "\r\nCOMPLETE sig\r\nREADY I 1.2\r\n";
+    bytes += "ERROR FAILED " + text + "\r\nREADY E 1.2\r\n";
+  }
+  const auto messages =
+    CollectMessages<platform::LineCodec::ServerParser>(bytes);
+  Require(messages.size() == 2 * aTexts.size(), "two answers for each text");
+  for (std::size_t i = 0; i < aTexts.size(); i++) {
+    const ServerAnswer& rows = messages[2 * i].answer_;
+    const ServerAnswer& error = messages[2 * i + 1].answer_;
+    Require(rows.rows_ == std::vector<std::string>(2, aTexts[i]) &&
+              rows.signature_ == "sig",
+            "the rows of an answer arrive whole");
+    Require(error.error_ == SessionError::Failed &&
+              error.errorText_ == aTexts[i],
+            "the text of an error arrives whole");
+  }
+}
+
+void
+SendTexts(std::string_view aBytes)
+{
+  std::vector<std::string> texts;
+  while (!aBytes.empty()) {
+    const std::size_t size = std::min(aBytes.find('\0'), aBytes.size());
+    texts.push_back(MakeLastField(aBytes.substr(0, size)));
+    aBytes.remove_prefix(std::min(size + 1, aBytes.size()));
+  }
+  SendTextsOfCallers(texts);
+  SendTextsOfServers(texts);
+}
+
 void
 WriteFile(const std::string& aPath, std::string_view aBytes)
 {
@@ -187,6 +295,10 @@
         ".3\r\n",
         "ERROR BUSY text\r\nREADY E -\r\n",
         "primary 3 4.5 x" } },
+    { "whole_texts",
+      SendTexts,
+      { std::string("a\nb\0c\rd\0\n\0e\r\0COMPLETE sig\nREADY I 1.2", 37),
+        "a\nCOMPLETE sig\nREADY T 1.2\nROW b" } },
     { "config_body",
       [](std::string_view aBytes) { platform::ReadConfigBody(aBytes); },
       { MakeConfigSeed() } },
