--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -103,7 +103,7 @@
   std::vector<std::string> sent;
   for (const auto& text : aTexts) {
     sent.push_back(kVerbs[sent.size() % kVerbs.size()] + text);
-    bytes += "QUERY id " + sent.back() + "\r\n";
+    bytes.append("QUERY id ").append(sent.back()).append("\r\n");
   }
   const auto messages =
     CollectMessages<platform::LineCodec::CallerParser>(bytes);
