--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -120,9 +120,11 @@
 {
   std::string bytes;
   for (const auto& text : aTexts) {
-    bytes +=
-      "ROW " + text + "\r\nROW " + text + "\r\nCOMPLETE sig\r\nREADY I 1.2\r\n";
-    bytes += "ERROR FAILED " + text + "\r\nREADY E 1.2\r\n";
+    bytes.append("ROW ").append(text).append("\r\n");
+    bytes.append("ROW ").append(text).append("\r\n");
+    bytes.append("COMPLETE sig\r\nREADY I 1.2\r\n");
+    bytes.append("ERROR FAILED ").append(text).append("\r\n");
+    bytes.append("READY E 1.2\r\n");
   }
   const auto messages =
     CollectMessages<platform::LineCodec::ServerParser>(bytes);
