Tests: statuses from the choice of a successor, and answers after a refusal

The case of the leases asked for requests that the leader no longer sends while it waits; it now takes those of the phase before, which count with the old Failover (intent for s2 at 1.50 with s1 at 1.51).

--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -462,14 +462,13 @@
     leader.Grant("vm-b");
     leader.log_.Announce("s1", "a", 1, 2, true);
     leader.Step(); // starts the replacement
-    leader.Step();
+    const auto earlier = leader.TickAndTakeStatusRequests();
+    REQUIRE_FALSE(earlier.empty());
+    leader.now_ += 60ms;
+    leader.Step(); // the next requests are answered at once
     leader.Step(); // the successor is chosen
-    std::vector<RequestServerStatus> earlier;
-    for (int i = 0; i < 5; i++) {
-      const auto requests = leader.TickAndTakeStatusRequests();
-      earlier.insert(earlier.end(), requests.begin(), requests.end());
-      leader.now_ += 20ms;
-    }
+    leader.Step();
+    REQUIRE_FALSE(leader.revocations_.empty());
     // The last commit before the lease is given back reaches s1 only.
     leader.servers_["s1"]->received_ = { 1, 51 };
     leader.leases_.HandleRelease("vm-a", MakeRelease(1, 1));
@@ -519,6 +518,34 @@
     }
   }
 
+  SECTION("an answer about one successor does not count for the next one")
+  {
+    leader.servers_["s1"] = std::nullopt;
+    leader.serviceWorks_ = false;
+    const auto runUntil = [&](const auto& aIsDone) {
+      for (int i = 0; i < 500 && !aIsDone(); i++) {
+        leader.failover_.RecordSuspicion(
+          "vm-b", MakeSuspicion(true), leader.now_);
+        leader.Step();
+      }
+      REQUIRE(aIsDone());
+    };
+    runUntil([&] { return leader.promotions_.size() == 2; });
+    const auto first = leader.promotions_;
+    REQUIRE(first[0].server_ == "s2");
+    REQUIRE(first[1].server_ == "s2"); // sent again
+    leader.failover_.HandlePromotionAnswer(
+      first[0].callId_, PromotionAnswer::Refused, leader.now_);
+    runUntil([&] { return leader.promotions_.back().server_ == "s3"; });
+    const auto late =
+      GENERATE(PromotionAnswer::Refused, PromotionAnswer::Accepted);
+    leader.failover_.HandlePromotionAnswer(first[1].callId_, late, leader.now_);
+    leader.Run(700ms);
+    REQUIRE(leader.promotions_.size() == 4);
+    CHECK(leader.promotions_[2].server_ == "s3");
+    CHECK(leader.promotions_[3].server_ == "s3"); // sent again
+  }
+
   SECTION("a new database gets the primary that one of its servers claims")
   {
     Leader fresh;
