Tests: the error of a begin taken for that of its first statement, failing

A begin can't be told from the second answer to an earlier begin on the connection, so its first statement may be sent before the begin is answered. If the begin then fails, its error is taken for the statement's, and the server runs the statement outside of a transaction. The state tells: no statement but a commit ends a transaction with an error, so an error in state Idle is not that of a statement in one.

matcher.Check(refused) == AnswerVerdict::Unexpected with expansion: 0 == 3

--- a/tests/answer_model_test.cpp
+++ b/tests/answer_model_test.cpp
@@ -268,4 +268,32 @@
   CHECK(mixUps > 0);
 }
 
+TEST_CASE("The error of a begin is not taken for that of its first statement")
+{
+  // A begin is taken to have succeeded for the second answer to an earlier one.
+  AnswerMatcher matcher;
+  ConnectionAnswers server;
+  const auto run = [&](CommandKind aKind, bool aEndsTransaction = false) {
+    ServerCommand command(aKind);
+    command.endsTransaction_ = aEndsTransaction;
+    matcher.Expect({ aKind, aEndsTransaction });
+    const ServerAnswer answer = server.Answer(command);
+    REQUIRE(matcher.Check(answer) == AnswerVerdict::Matches);
+    matcher.Accept(answer);
+    return answer;
+  };
+  const ServerAnswer begun = run(CommandKind::Begin);
+  run(CommandKind::Forward);
+  run(CommandKind::Forward, true);
+  matcher.Expect({ CommandKind::Begin });
+  REQUIRE(matcher.Check(begun) == AnswerVerdict::Matches);
+  matcher.Accept(begun);
+  matcher.Expect({ CommandKind::Forward });
+  // The state is that outside a transaction: no statement in it ends so.
+  const ServerAnswer refused =
+    server.Answer(ServerCommand(CommandKind::Begin), SessionError::ReadOnly);
+  REQUIRE(refused.state_ == TransactionState::Idle);
+  CHECK(matcher.Check(refused) == AnswerVerdict::Unexpected);
+}
+
 } // namespace jaydoor::tests
