Stand-in servers end messages at CR LF only, and may answer twice

It now ends a message at CR LF, also when the two bytes arrive apart. By its settings it repeats a share of its answers byte for byte on the same connection after a delay, among them errors and the READY after OPEN, and refuses a share of reads, writes and commits with BUSY, which leaves a transaction open. It records what it received and answered; LineDeployment::FindMixedAndUnasked() compares that with what callers sent and were answered.

--- a/tests/LineDeployment.cpp
+++ b/tests/LineDeployment.cpp
@@ -42,12 +42,68 @@
   return (aNumber - 1) % kZones + 1;
 }
 
+// Returns the statement without the name of its prepared statement, which
+// differs between callers and servers.
+std::string
+RemoveName(const std::string& aText)
+{
+  if (!aText.starts_with("EXECUTE ") && !aText.starts_with("PREPARE ")) {
+    return aText;
+  }
+  const std::size_t start = aText.find(' ') + 1;
+  return aText.substr(0, start) +
+         aText.substr(std::min(aText.find(' ', start), aText.size()));
+}
+
+// True for what a VM or a control VM may send to a server on its own, unless
+// it depends on what callers sent.
+bool
+IsProxyStatement(const std::string& aText)
+{
+  return aText == "BEGIN" || aText == "BEGIN READ" || aText == "ROLLBACK" ||
+         aText == "RESET" || aText == "STATUS" ||
+         aText.starts_with("STEPDOWN ");
+}
+
+// True for statements whose success needs the answer of a server.
+bool
+NeedsServer(const std::string& aText)
+{
+  return aText.starts_with("READ ") || aText.starts_with("WRITE ") ||
+         aText.starts_with("EXECUTE ") || aText == "COMMIT";
+}
+
 } // namespace
 
 // ---- Callers
 
-LineCaller::LineCaller(const std::string& aHost, std::uint16_t aPort)
+void
+SentStatements::Add(const std::string& aId, const std::string& aText)
+{
+  const std::scoped_lock lock(mutex_);
+  statements_[aId].text_ = aText;
+}
+
+void
+SentStatements::SetAnswer(const std::string& aId,
+                          std::vector<std::string> aAnswer)
+{
+  const std::scoped_lock lock(mutex_);
+  statements_[aId].answer_ = std::move(aAnswer);
+}
+
+std::map<std::string, SentStatement>
+SentStatements::Copy() const
+{
+  const std::scoped_lock lock(mutex_);
+  return statements_;
+}
+
+LineCaller::LineCaller(const std::string& aHost,
+                       std::uint16_t aPort,
+                       SentStatements* aSent)
   : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  , sent_(aSent)
 {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -103,12 +159,19 @@
 LineCaller::Query(const std::string& aText)
 {
   static std::atomic<int> number = 0;
-  Write(fmt::format("QUERY {:016x} {}\r\n", ++number, aText));
+  const std::string id = fmt::format("{:016x}", ++number);
+  if (sent_ != nullptr) {
+    sent_->Add(id, aText);
+  }
+  Write(fmt::format("QUERY {} {}\r\n", id, aText));
   std::vector<std::string> lines;
   do {
     lines.push_back(ReadLine());
   } while (!lines.back().starts_with("READY") && lines.back() != "closed" &&
            lines.back() != "silent");
+  if (sent_ != nullptr) {
+    sent_->SetAnswer(id, lines);
+  }
   return lines;
 }
 
@@ -149,6 +212,8 @@
   LineGroupConfig group;
   group.service_ = "db";
   group.statementDuration_ = config_.statementDuration_;
+  group.faults_ = config_.faults_;
+  group.recordsStatements_ = config_.recordsStatements_;
   for (int zone = 1; zone <= kZones; zone++) {
     group.serverAddresses_.push_back(
       { MakeAddress(zone, kServerHost), kServerPort });
@@ -296,7 +361,10 @@
 std::unique_ptr<LineCaller>
 LineDeployment::Connect(int aEntry) const
 {
-  return std::make_unique<LineCaller>(EntryHost(aEntry), kCallerPort);
+  return std::make_unique<LineCaller>(EntryHost(aEntry),
+                                      kCallerPort,
+                                      config_.recordsStatements_ ? &sent_
+                                                                 : nullptr);
 }
 
 // ---- Calls
@@ -417,4 +485,52 @@
          IsDone(caller->Query(fmt::format("WRITE {} {}", aItem, aData)));
 }
 
+std::vector<std::string>
+LineDeployment::FindMixedAndUnasked()
+{
+  // Copied before those sent, so that the senders of all are known.
+  const auto received =
+    RunOnGroupThread([](auto& aGroup) { return aGroup.ReceivedStatements(); });
+  const auto sent = sent_.Copy();
+  std::set<std::string> texts;
+  for (const auto& [id, statement] : sent) {
+    texts.insert(RemoveName(statement.text_));
+  }
+  std::vector<std::string> found;
+  std::map<std::string, std::vector<std::vector<std::string>>> answers;
+  for (const auto& statement : received) {
+    const auto sender = sent.find(statement.id_);
+    const bool isAsked =
+      statement.id_ == "-"
+        ? IsProxyStatement(statement.text_) ||
+            ((statement.text_.starts_with("SET ") ||
+              statement.text_.starts_with("PREPARE ")) &&
+             texts.contains(RemoveName(statement.text_)))
+        : sender != sent.end() &&
+            RemoveName(sender->second.text_) == RemoveName(statement.text_);
+    if (!isAsked) {
+      found.push_back(fmt::format("nobody sent {:?}, which was run with id {}",
+                                  statement.text_,
+                                  statement.id_));
+    }
+    answers[statement.id_].push_back(statement.answer_);
+  }
+  for (const auto& [id, statement] : sent) {
+    auto answer = statement.answer_;
+    if (!NeedsServer(statement.text_) || !IsDone(answer)) {
+      continue;
+    }
+    answer.pop_back(); // READY
+    const auto& given = answers[id];
+    if (std::find(given.begin(), given.end(), answer) == given.end()) {
+      found.push_back(fmt::format("{:?} with id {} was answered {:?}, which no "
+                                  "server has answered to it",
+                                  statement.text_,
+                                  id,
+                                  fmt::join(answer, ", ")));
+    }
+  }
+  return found;
+}
+
 } // namespace jaydoor::tests
--- a/tests/LineDeployment.h
+++ b/tests/LineDeployment.h
@@ -16,6 +16,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -29,11 +30,34 @@
 inline constexpr std::uint16_t kControlPort = 8782;
 inline constexpr int kFirstInternalPort = 7440;
 
+// A statement as its caller sent it, and the answer that it was given.
+struct SentStatement
+{
+  std::string text_;
+  std::vector<std::string> answer_; // empty: none yet
+};
+
+// The statements of several callers, by their ids. Thread-safe.
+class SentStatements
+{
+public:
+  void Add(const std::string& aId, const std::string& aText);
+  void SetAnswer(const std::string& aId, std::vector<std::string> aAnswer);
+  std::map<std::string, SentStatement> Copy() const;
+
+private:
+  mutable std::mutex mutex_;
+  std::map<std::string, SentStatement> statements_;
+};
+
 // A connection for the session of one caller, or for raw bytes to any port.
 class LineCaller
 {
 public:
-  LineCaller(const std::string& aHost, std::uint16_t aPort);
+  // Records its statements if `aSent` is not null.
+  LineCaller(const std::string& aHost,
+             std::uint16_t aPort,
+             SentStatements* aSent = nullptr);
   ~LineCaller();
   LineCaller(const LineCaller&) = delete;
   LineCaller& operator=(const LineCaller&) = delete;
@@ -44,12 +68,15 @@
   std::string ReadLine();
   // Sends a statement and returns the lines of its answer up to READY.
   std::vector<std::string> Query(const std::string& aText);
+  // True if bytes arrived that belong to no statement.
+  bool HasUnreadBytes() const { return !bytes_.empty(); }
   bool Open(const std::string& aDatabase, const std::string& aKey = "user");
 
 private:
   int socket_ = -1;
   bool connected_ = false;
   std::string bytes_;
+  SentStatements* sent_ = nullptr;
 };
 
 // True if the lines are the answer to a statement that succeeded.
@@ -69,6 +96,10 @@
   Duration statementDuration_ = 1ms;
   bool keepsFolder_ = false;            // the folder is not deleted
   std::string limits_ = "maxFds: 1024"; // of the settings files
+  AnswerFaults faults_ = {};            // of the servers
+  // Statements are recorded where callers send them and where servers receive
+  // them; see FindMixedAndUnasked().
+  bool recordsStatements_ = false;
 };
 
 class LineDeployment
@@ -117,6 +148,13 @@
   std::string FetchMetrics(int aEntry) const;
   bool IsReady(int aEntry) const;
 
+  // Compares what callers sent by Connect() and were answered with what servers
+  // received and answered. Returns
+  // - statements that ran and that no caller sent, or with another text;
+  // - successful reads, writes and commits of which no server has given this
+  //   answer to this statement.
+  std::vector<std::string> FindMixedAndUnasked();
+
   // Runs the function on the group's thread and returns its result.
   template<typename Function>
   auto RunOnGroupThread(const Function& aFunction)
@@ -136,6 +174,7 @@
   std::string MakeAddress(int aZone, int aHostNumber) const;
 
   LineDeploymentConfig config_;
+  mutable SentStatements sent_;
   int unreadLog_ = -1; // read end of the pipe of StartWithUnreadLog
   boost::asio::io_context context_{ 1 };
   std::unique_ptr<LineGroup> group_;
--- a/tests/LineGroup.cpp
+++ b/tests/LineGroup.cpp
@@ -23,6 +23,7 @@
 
 // A caller's message of 1 MiB, with the log point that the proxy adds to it.
 constexpr std::size_t kMaxLineBytes = (1U << 20) + 128;
+constexpr std::string_view kLineEnd = "\r\n";
 constexpr Duration kHeartbeatTimeout = 1s;
 
 std::string_view
@@ -60,6 +61,7 @@
       HttpLimits{},
       [this](HttpRequest aCall) { return HandlePromotion(std::move(aCall)); })
   , servers_(config_.serverAddresses_.size())
+  , random_(config_.faults_.seed_)
 {
   for (std::size_t i = 0; i < servers_.size(); i++) {
     servers_[i].id_ = fmt::format("{}-{}", config_.service_, i);
@@ -158,6 +160,12 @@
   }
 }
 
+void
+LineGroup::WriteItem(const std::string& aItem, const std::string& aData)
+{
+  AppendCommit(servers_[Primary()], aItem, aData);
+}
+
 std::size_t
 LineGroup::Primary() const
 {
@@ -218,26 +226,27 @@
   sockets.insert(aSocket);
   Connection connection;
   connection.server_ = aServer;
+  const auto sender = std::make_shared<Sender>();
+  sender->socket_ = aSocket;
   std::string bytes;
   std::array<char, 4096> chunk{};
   bool opened = false;
   while (true) {
     boost::system::error_code error;
-    std::size_t end = bytes.find('\n');
+    std::size_t end = bytes.find(kLineEnd);
     while (!error && end == std::string::npos && bytes.size() < kMaxLineBytes) {
       const std::size_t size = co_await aSocket->async_read_some(
         asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+      // A line end may arrive in two parts.
+      const std::size_t start = bytes.empty() ? 0 : bytes.size() - 1;
       bytes.append(chunk.data(), size);
-      end = bytes.find('\n');
+      end = bytes.find(kLineEnd, start);
     }
     if (end == std::string::npos) {
       break; // connection closed, or line too long
     }
-    std::string line = bytes.substr(0, end);
-    bytes.erase(0, end + 1);
-    if (line.ends_with('\r')) {
-      line.pop_back();
-    }
+    const std::string line = bytes.substr(0, end);
+    bytes.erase(0, end + kLineEnd.size());
     std::string_view rest = line;
     const std::string_view word = PopWord(rest);
     std::string answer;
@@ -247,17 +256,67 @@
     } else if (opened && word == "QUERY") {
       answer = co_await HandleQuery(connection, std::string(rest));
     }
-    co_await asio::async_write(
-      *aSocket,
-      asio::buffer(answer),
-      asio::redirect_error(asio::use_awaitable, error));
-    if (answer.empty() || !opened) {
+    const bool isLast = answer.empty() || !opened;
+    if (!isLast && IsDrawn(config_.faults_.repeatedShare_)) {
+      const Duration delay{ std::uniform_int_distribution<Duration::rep>(
+        0, config_.faults_.maxRepeatDelay_.count())(random_) };
+      asio::co_spawn(context_, SendLate(sender, answer, delay), asio::detached);
+    }
+    Send(sender, std::move(answer));
+    if (isLast) {
       break; // message unknown, or OPEN refused
     }
   }
   sockets.erase(aSocket);
 }
 
+// ---- Answers
+
+bool
+LineGroup::IsDrawn(double aShare)
+{
+  return aShare > 0 && std::bernoulli_distribution(aShare)(random_);
+}
+
+void
+LineGroup::Send(const std::shared_ptr<Sender>& aSender, std::string aAnswer)
+{
+  aSender->waiting_.push_back(std::move(aAnswer));
+  if (!std::exchange(aSender->sending_, true)) {
+    asio::co_spawn(context_, SendWaiting(aSender), asio::detached);
+  }
+}
+
+asio::awaitable<void>
+LineGroup::SendWaiting(std::shared_ptr<Sender> aSender)
+{
+  boost::system::error_code error;
+  while (!error && !aSender->waiting_.empty()) {
+    const std::string answer = std::move(aSender->waiting_.front());
+    aSender->waiting_.pop_front();
+    co_await asio::async_write(
+      *aSender->socket_,
+      asio::buffer(answer),
+      asio::redirect_error(asio::use_awaitable, error));
+  }
+  aSender->sending_ = false;
+}
+
+// The connection may have ended before the delay is over.
+asio::awaitable<void>
+LineGroup::SendLate(std::weak_ptr<Sender> aSender,
+                    std::string aAnswer,
+                    Duration aDelay)
+{
+  co_await Sleep(aDelay);
+  if (const auto sender = aSender.lock()) {
+    repeatedAnswers_++;
+    Send(sender, std::move(aAnswer));
+  }
+}
+
+// ---- Opening
+
 // The fields are the service, the name of the connecting party and, optionally,
 // the id of the server that it expects.
 std::string
@@ -300,7 +359,7 @@
 LineGroup::HandleQuery(Connection& aConnection, std::string aFields)
 {
   std::string_view rest = aFields;
-  PopWord(rest); // id of the statement
+  const std::string_view id = PopWord(rest);
   Answer answer;
   if (rest.starts_with("SINCE ")) {
     PopWord(rest);
@@ -310,6 +369,10 @@
       answer.error_ = "LAGGING";
     }
   }
+  const std::size_t place = received_.size();
+  if (config_.recordsStatements_) {
+    received_.push_back({ std::string(id), std::string(rest), {} });
+  }
   const bool accessesData = rest.starts_with("READ") ||
                             rest.starts_with("WRITE") ||
                             rest.starts_with("EXECUTE") || rest == "COMMIT";
@@ -334,22 +397,35 @@
   if (accessesData) {
     co_await Sleep(config_.statementDuration_);
   }
-  if (answer.error_.empty()) {
+  const bool isBusy = accessesData && answer.error_.empty() &&
+                      !aConnection.transactionFailed_ &&
+                      IsDrawn(config_.faults_.busyShare_);
+  if (isBusy) {
+    busyAnswers_++;
+    answer.error_ = "BUSY";
+  } else if (answer.error_.empty()) {
     answer = RunStatement(aConnection, rest);
   }
-  if (!answer.error_.empty() && aConnection.inTransaction_) {
+  if (!answer.error_.empty() && !isBusy && aConnection.inTransaction_) {
     aConnection.transactionFailed_ = true;
   }
-  std::string out;
+  std::vector<std::string> lines;
   for (const auto& row : answer.rows_) {
-    out += fmt::format("ROW {}\r\n", row);
-  }
-  out += answer.error_.empty()
-           ? fmt::format("COMPLETE {}\r\n",
-                         answer.signature_.empty() ? "-" : answer.signature_)
-           : fmt::format("ERROR {} {}\r\n",
-                         answer.error_,
-                         servers_[aConnection.server_].id_);
+    lines.push_back("ROW " + row);
+  }
+  lines.push_back(
+    answer.error_.empty()
+      ? "COMPLETE " + (answer.signature_.empty() ? "-" : answer.signature_)
+      : fmt::format(
+          "ERROR {} {}", answer.error_, servers_[aConnection.server_].id_));
+  std::string out;
+  for (const auto& line : lines) {
+    out += line;
+    out += kLineEnd;
+  }
+  if (config_.recordsStatements_) {
+    received_[place].answer_ = std::move(lines);
+  }
   const char state = aConnection.transactionFailed_ ? 'E'
                      : aConnection.inTransaction_   ? 'T'
                                                     : 'I';
--- a/tests/LineGroup.h
+++ b/tests/LineGroup.h
@@ -13,11 +13,15 @@
 // lag. A promoted server is the primary of the next term after a delay; the
 // former primary stays one until it is told to step down. Not implemented: the
 // limit of slots, and the second after which a former primary stops by itself.
+//
+// Servers may answer twice, or refuse statements; see AnswerFaults.
 
 #include "daemon/Http.h"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +34,29 @@
   std::uint16_t port_ = 0;
 };
 
+// What servers do to answers, chosen at random by the seed.
+struct AnswerFaults
+{
+  // Share of the answers that are sent a second time, byte for byte the same,
+  // on the same connection, and possibly after those to later statements. Any
+  // answer is meant: also errors, and the one to OPEN.
+  double repeatedShare_ = 0;
+  Duration maxRepeatDelay_ = 100ms; // before the second copy
+  // Share of reads, writes and commits that are refused with BUSY and not run.
+  // A transaction goes on.
+  double busyShare_ = 0;
+  std::uint64_t seed_ = 1;
+};
+
+// A statement as it reached a server.
+struct ReceivedStatement
+{
+  std::string id_;
+  std::string text_; // without the log point that precedes it
+  // Of its run: the lines of the answer before READY; empty: it has none yet.
+  std::vector<std::string> answer_;
+};
+
 struct LineGroupConfig
 {
   std::string service_;                      // name of the group
@@ -46,6 +73,8 @@
   // A leaving server may be sent new work for this long.
   Duration drainBound_ = 7s;
   Duration heartbeatInterval_ = 200ms;
+  AnswerFaults faults_ = {};
+  bool recordsStatements_ = false; // see ReceivedStatements()
 };
 
 class LineGroup
@@ -68,6 +97,8 @@
   // The server says that it leaves, until it is started anew.
   void Leave(std::size_t aServer);
   bool IsUp(std::size_t aServer) const { return servers_[aServer].up_; }
+  // Commits a write at the primary that no caller has sent.
+  void WriteItem(const std::string& aItem, const std::string& aData);
   // Time since a control VM acknowledged that the server leaves; none if it
   // does not leave, or was not acknowledged yet.
   std::optional<Duration> LeavingFor(std::size_t aServer) const;
@@ -84,6 +115,13 @@
   {
     return misusedConnections_;
   }
+  // All statements that reached the servers, in the order of their arrival.
+  const std::deque<ReceivedStatement>& ReceivedStatements() const
+  {
+    return received_;
+  }
+  std::size_t CountRepeatedAnswers() const { return repeatedAnswers_; }
+  std::size_t CountBusyAnswers() const { return busyAnswers_; }
   // Returns the index of the primary with the highest term.
   std::size_t Primary() const;
   // Returns the values committed for the item, oldest first, from the primary's
@@ -136,10 +174,24 @@
 
   using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
+  // Answers that are to be sent on a connection, so that each is sent whole.
+  struct Sender
+  {
+    Socket socket_;
+    std::deque<std::string> waiting_;
+    bool sending_ = false;
+  };
+
   Expected<bool> Listen(std::size_t aServer);
   boost::asio::awaitable<void> AcceptConnections(std::size_t aServer);
   boost::asio::awaitable<void> ServeConnection(std::size_t aServer,
                                                Socket aSocket);
+  void Send(const std::shared_ptr<Sender>& aSender, std::string aAnswer);
+  boost::asio::awaitable<void> SendWaiting(std::shared_ptr<Sender> aSender);
+  boost::asio::awaitable<void> SendLate(std::weak_ptr<Sender> aSender,
+                                        std::string aAnswer,
+                                        Duration aDelay);
+  bool IsDrawn(double aShare);
   boost::asio::awaitable<void> SendHeartbeats(std::size_t aServer);
   boost::asio::awaitable<HttpResponse> HandlePromotion(HttpRequest aCall);
   boost::asio::awaitable<void> Promote(std::string aId);
@@ -168,6 +220,10 @@
   std::size_t statementsRun_ = 0; // counts statements, for signatures
   std::vector<std::pair<Duration, std::string>> lateWork_;
   std::vector<std::string> misusedConnections_;
+  std::mt19937_64 random_;
+  std::deque<ReceivedStatement> received_;
+  std::size_t repeatedAnswers_ = 0;
+  std::size_t busyAnswers_ = 0;
 };
 
 } // namespace jaydoor::tests
