--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -3,14 +3,18 @@
 
 #include "tests/LineDeployment.h"
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 #include <thread>
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <unistd.h>
 
 namespace jaydoor::tests {
@@ -46,6 +50,183 @@
            .network_ = 16 + getpid() % 200 };
 }
 
+// Waits until the VMs of a new deployment serve writes.
+bool
+AwaitService(LineDeployment& aDeployment)
+{
+  return aDeployment.IsStarted() && Await([&] {
+           return aDeployment.ReplaceConfig(1, LineDeployment::MakeConfig(3)) ==
+                  200;
+         }) &&
+         Await([&] { return aDeployment.WriteItem(1, "first", "1"); }) &&
+         Await([&] { return aDeployment.WriteItem(2, "first", "1"); });
+}
+
+std::vector<std::string>
+ListCommittedValues(LineDeployment& aDeployment, const std::string& aItem)
+{
+  return aDeployment.RunOnGroupThread(
+    [&](auto& aGroup) { return aGroup.ListCommittedValues(aItem); });
+}
+
+void
+CheckNothingMixedOrUnasked(LineDeployment& aDeployment)
+{
+  constexpr std::size_t kMaxShown = 12;
+  const auto found = aDeployment.FindMixedAndUnasked();
+  for (std::size_t i = 0; i < std::min(found.size(), kMaxShown); i++) {
+    UNSCOPED_INFO(found[i]);
+  }
+  INFO(found.size() << " in all");
+  CHECK(found.empty());
+}
+
+// Data in which only CR LF would end a message; some of it looks like messages.
+constexpr std::array kOddData = {
+  "one\ntwo",
+  "one\rtwo",
+  "\n",
+  "ends in\n",
+  "ends in\r",
+  "\n\rstart",
+  " blanks at the ends ",
+  "x\nQUERY q COMMIT",
+  "x\nQUERY q WRITE stolen 1",
+  "x\nCLOSE",
+  "x\nCOMPLETE forged\nREADY I -",
+  "x\nERROR BUSY forged\nREADY I -",
+};
+
+// A caller with an item of its own that it writes increasing numbers to, in
+// short sessions at the first VM.
+class ItemOwner
+{
+public:
+  ItemOwner(LineDeployment& aDeployment, int aNumber)
+    : deployment_(aDeployment)
+    , item_(fmt::format("item-{}", aNumber))
+    , random_(static_cast<std::uint64_t>(aNumber))
+  {
+  }
+
+  void Run(int aSessions)
+  {
+    for (int i = 0; i < aSessions; i++) {
+      const auto caller = deployment_.Connect(1);
+      const bool isStrict = random_() % 2 == 0;
+      seen_ = isStrict ? last_ : 0;
+      bool goesOn = caller->Open(isStrict ? "primary" : "read_your_writes");
+      const bool prepares = goesOn && random_() % 3 == 0;
+      if (prepares) {
+        goesOn = IsDone(caller->Query("SET owner " + item_)) &&
+                 IsDone(caller->Query("PREPARE p WRITE " + item_));
+      }
+      for (int left = 1 + static_cast<int>(random_() % 4); goesOn && left > 0;
+           left--) {
+        goesOn = Act(*caller, prepares);
+        unasked_ += caller->HasUnreadBytes() ? 1 : 0;
+      }
+    }
+  }
+
+  // Compares what the owner was told with what the servers hold.
+  void Check()
+  {
+    INFO(item_);
+    const auto values = ListCommittedValues(deployment_, item_);
+    const auto count = [&](const std::string& aValue) {
+      return std::count(values.begin(), values.end(), aValue);
+    };
+    for (const auto& value : acknowledged_) {
+      INFO("acknowledged: " << value);
+      CHECK(count(value) == 1);
+    }
+    for (const auto& value : refused_) {
+      INFO("refused: " << value);
+      CHECK(count(value) == 0);
+    }
+    for (const auto& value : inDoubt_) {
+      INFO("in doubt: " << value);
+      CHECK(count(value) <= 1);
+    }
+    CHECK_FALSE(acknowledged_.empty());
+    CHECK(unasked_ == 0);
+    for (const auto& row : strangeRows_) {
+      UNSCOPED_INFO(row);
+    }
+    CHECK(strangeRows_.empty());
+  }
+
+private:
+  // Runs one operation; returns false if the session can't go on.
+  bool Act(LineCaller& aCaller, bool aIsPrepared)
+  {
+    const auto kind = random_() % 4;
+    if (kind == 0) {
+      return Read(aCaller, aIsPrepared);
+    }
+    const bool inTransaction = kind > 1;
+    if (inTransaction && !IsDone(aCaller.Query("BEGIN"))) {
+      return false;
+    }
+    const std::string value = fmt::format("{}:{}", item_, ++written_);
+    auto lines = aCaller.Query(fmt::format(
+      "{} {} {}", aIsPrepared ? "EXECUTE p" : "WRITE", item_, value));
+    bool isCommitting = !inTransaction;
+    if (inTransaction && IsDone(lines)) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(random_() % 20));
+      const bool isRead = Read(aCaller, aIsPrepared, value);
+      isCommitting = isRead && random_() % 4 != 0;
+      lines = aCaller.Query(isCommitting ? "COMMIT" : "ROLLBACK");
+    }
+    const bool isDone = isCommitting && IsDone(lines);
+    const bool isRefused = !isCommitting || IsRefusal(lines);
+    (isDone ? acknowledged_ : isRefused ? refused_ : inDoubt_).push_back(value);
+    return lines.back().starts_with("READY I");
+  }
+
+  // Reads the item, which has to hold `aExpected` or, if that is empty, what
+  // this session has to see or a later value.
+  bool Read(LineCaller& aCaller,
+            bool aIsPrepared,
+            const std::string& aExpected = {})
+  {
+    const auto lines = aCaller.Query("READ " + item_);
+    if (!IsDone(lines)) {
+      return false;
+    }
+    std::vector<std::string> rows(lines.begin(), lines.end() - 2);
+    const std::string start = "ROW " + item_ + ":";
+    const bool isExpected =
+      !rows.empty() && (!aExpected.empty() ? rows[0] == "ROW " + aExpected
+                        : rows[0].starts_with(start)
+                          ? std::stoi(rows[0].substr(start.size())) >= seen_
+                          : rows[0] == "ROW " && seen_ == 0);
+    const bool hasSettings =
+      aIsPrepared ? rows.size() == 2 && rows[1] == "ROW owner=" + item_
+                  : rows.size() == 1;
+    if (!isExpected || !hasSettings) {
+      strangeRows_.push_back(fmt::format(
+        "read {:?}, expected {}",
+        fmt::join(rows, ", "),
+        aExpected.empty() ? fmt::format("{} or later", seen_) : aExpected));
+    }
+    return true;
+  }
+
+  LineDeployment& deployment_;
+  std::string item_;
+  std::mt19937_64 random_;
+  int written_ = 0;
+  int last_ = 0;    // acknowledged
+  int seen_ = 0;    // reads of this session have to show it
+  int unasked_ = 0; // answers that belong to no statement
+  std::vector<std::string> acknowledged_;
+  std::vector<std::string> refused_;
+  std::vector<std::string> inDoubt_;
+  std::vector<std::string> strangeRows_;
+};
+
 } // namespace
 
 TEST_CASE("A deployment on the platform works end to end")
@@ -408,4 +589,162 @@
   }
 }
 
+TEST_CASE("Line feeds in texts and rows cut nothing")
+{
+  auto config = MakeDeploymentConfig();
+  config.recordsStatements_ = true;
+  LineDeployment deployment(config);
+  REQUIRE(AwaitService(deployment));
+  // A session for each text: a VM that cuts one may end the session.
+  const auto open = [&](const std::string& aDatabase) {
+    auto caller = deployment.Connect(1);
+    REQUIRE(caller->Open(aDatabase));
+    return caller;
+  };
+  const std::vector<std::string> allData(kOddData.begin(), kOddData.end());
+
+  SECTION("a single write is sent whole, and nothing else with it")
+  {
+    for (const auto& data : allData) {
+      CAPTURE(data);
+      CHECK(IsDone(open("primary")->Query("WRITE single " + data)));
+    }
+    CHECK(ListCommittedValues(deployment, "single") == allData);
+    CheckNothingMixedOrUnasked(deployment);
+  }
+
+  SECTION("a transaction's write is sent whole, and commits only when asked")
+  {
+    for (const auto& data : allData) {
+      CAPTURE(data);
+      const auto caller = open("primary");
+      CHECK(IsDone(caller->Query("BEGIN")));
+      CHECK(IsDone(caller->Query("WRITE transaction " + data)));
+      CHECK(caller->Query("READ transaction")[0] == "ROW " + data);
+      CHECK(IsDone(caller->Query("COMMIT")));
+      const auto leaving = open("primary");
+      CHECK(IsDone(leaving->Query("BEGIN")));
+      CHECK(IsDone(leaving->Query("WRITE left " + data)));
+    }
+    CHECK(ListCommittedValues(deployment, "transaction") == allData);
+    CHECK(ListCommittedValues(deployment, "left").empty());
+    CheckNothingMixedOrUnasked(deployment);
+  }
+
+  SECTION("arguments, session values and shapes reach the server whole")
+  {
+    for (const auto& data : allData) {
+      CAPTURE(data);
+      const auto caller = open("primary");
+      CHECK(IsDone(caller->Query("SET colour " + data)));
+      CHECK(IsDone(caller->Query("PREPARE p WRITE " + data)));
+      CHECK(IsDone(caller->Query("EXECUTE p prepared " + data)));
+      const auto lines = caller->Query("READ prepared");
+      REQUIRE(lines.size() == 4);
+      CHECK(lines[0] == "ROW " + data);
+      CHECK(lines[1] == "ROW colour=" + data);
+      CHECK(deployment.RunOnGroupThread([&](auto& aGroup) {
+        const auto& received = aGroup.ReceivedStatements();
+        return std::any_of(
+          received.begin(), received.end(), [&](const auto& aStatement) {
+            return aStatement.text_.starts_with("PREPARE ") &&
+                   aStatement.text_.ends_with(" WRITE " + data);
+          });
+      }));
+    }
+    CHECK(ListCommittedValues(deployment, "prepared") == allData);
+    CheckNothingMixedOrUnasked(deployment);
+  }
+
+  SECTION("a row comes back whole, with the server's signature")
+  {
+    for (std::size_t i = 0; i < allData.size(); i++) {
+      CAPTURE(allData[i]);
+      const std::string item = fmt::format("row-{}", i);
+      deployment.RunOnGroupThread([&](auto& aGroup) {
+        aGroup.WriteItem(item, allData[i]);
+        return true;
+      });
+      std::this_thread::sleep_for(20ms); // replicas show it
+      for (const char* database :
+           { "primary", "read_your_writes", "bounded_staleness" }) {
+        const auto lines = open(database)->Query("READ " + item);
+        REQUIRE(lines.size() == 3);
+        CHECK(lines[0] == "ROW " + allData[i]);
+        CHECK(lines[2] == "READY I -");
+      }
+    }
+    CheckNothingMixedOrUnasked(deployment);
+  }
+
+  SECTION("a message ends when its line end arrives in two parts")
+  {
+    const auto caller = open("primary");
+    caller->Write("QUERY 1 WRITE parts one\r");
+    std::this_thread::sleep_for(50ms);
+    caller->Write("\n");
+    CHECK(caller->ReadLine().starts_with("COMPLETE db-"));
+    CHECK(caller->ReadLine() == "READY I -");
+    caller->Write("QUERY 2 WRITE parts two\r");
+    std::this_thread::sleep_for(50ms);
+    caller->Write("\r\n");
+    CHECK(caller->ReadLine().starts_with("COMPLETE db-"));
+    CHECK(caller->ReadLine() == "READY I -");
+    CHECK(ListCommittedValues(deployment, "parts") ==
+          std::vector<std::string>{ "one", "two\r" });
+  }
+}
+
+// Guards against answers that are given to the statement after the one that
+// they belong to, and from there on to all later ones of the connection.
+TEST_CASE("Servers that answer twice mix up no answers")
+{
+  constexpr int kOwners = 16;
+  constexpr int kSessions = 30;
+  auto config = MakeDeploymentConfig();
+  config.recordsStatements_ = true;
+  config.statementDuration_ = 2ms;
+
+  SECTION("none, but they refuse many statements")
+  {
+    config.faults_ = { .busyShare_ = 0.2 };
+  }
+  SECTION("some answers, the second time late")
+  {
+    config.faults_ = { .repeatedShare_ = 0.1,
+                       .maxRepeatDelay_ = 100ms,
+                       .busyShare_ = 0.05 };
+  }
+  SECTION("all answers, the second time soon")
+  {
+    config.faults_ = { .repeatedShare_ = 1, .maxRepeatDelay_ = 5ms };
+  }
+  SECTION("half of the answers, many of them errors")
+  {
+    config.faults_ = { .repeatedShare_ = 0.5,
+                       .maxRepeatDelay_ = 30ms,
+                       .busyShare_ = 0.2 };
+  }
+
+  CAPTURE(config.faults_.repeatedShare_, config.faults_.busyShare_);
+  LineDeployment deployment(config);
+  REQUIRE(AwaitService(deployment));
+  std::vector<std::unique_ptr<ItemOwner>> owners;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kOwners; i++) {
+    owners.push_back(std::make_unique<ItemOwner>(deployment, i));
+    threads.emplace_back([&owner = *owners.back()] { owner.Run(kSessions); });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  for (const auto& owner : owners) {
+    owner->Check();
+  }
+  CheckNothingMixedOrUnasked(deployment);
+  CHECK(deployment.RunOnGroupThread([](auto& aGroup) {
+    return aGroup.CountRepeatedAnswers() > 0;
+  }) == (config.faults_.repeatedShare_ > 0));
+}
+
 } // namespace jaydoor::tests
