Soak (red): odd bytes in the callers' data, and servers that answer twice

Callers write blanks, line feeds, carriage returns and what looks like messages after their numbers. With even seeds the servers repeat 3% of their answers up to 200 ms late and refuse 1% of reads, writes and commits. At the end each successful read, write and commit is compared with what a server answered to it, and each statement that servers received with what callers sent. A row without a number is a failure, where it ended the program before.

--- a/soak/History.cpp
+++ b/soak/History.cpp
@@ -1,11 +1,21 @@
 #include "soak/History.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <fmt/format.h>
 
 namespace jaydoor::soak {
 
+std::optional<std::uint64_t>
+ReadNumber(std::string_view aValue)
+{
+  std::uint64_t number = 0;
+  const auto result =
+    std::from_chars(aValue.data(), aValue.data() + aValue.size(), number);
+  return result.ec == std::errc() ? std::optional(number) : std::nullopt;
+}
+
 void
 History::RecordWrite(int aCaller, std::uint64_t aValue, WriteFate aFate)
 {
@@ -44,7 +54,12 @@
   const std::scoped_lock lock(mutex_);
   std::map<std::uint64_t, int> counts;
   for (const auto& value : aValues) {
-    counts[std::stoull(value)]++;
+    if (const auto number = ReadNumber(value)) {
+      counts[*number]++;
+    } else {
+      failures_.push_back(
+        fmt::format("caller {}: its item holds {:?}", aCaller, value));
+    }
   }
   for (const auto& [value, fate] : writes_[aCaller]) {
     const int count = counts[value];
--- a/soak/History.h
+++ b/soak/History.h
@@ -3,15 +3,17 @@
 // What callers were told and saw, and the check against what servers hold.
 //
 // Each caller writes increasing numbers to an item of its own and reads it, in
-// sessions at changing VMs. Thread-safe.
+// sessions at changing VMs. Other bytes may follow a number. Thread-safe.
 
 #include "base/Time.h"
 
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jaydoor::soak {
@@ -23,6 +25,10 @@
   InDoubt, // no answer, or one that promises nothing
 };
 
+// Returns the number at the start of the value; none if there is no number.
+std::optional<std::uint64_t>
+ReadNumber(std::string_view aValue);
+
 class History
 {
 public:
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -9,6 +9,9 @@
 //   - no acknowledged write is lost or takes effect twice, and none that was
 //     refused takes effect;
 //   - a caller reads its own acknowledged writes, through any VM;
+//   - a caller gets the answer to its own statement, whole and signed, also
+//     from servers that answer twice (seeds that are even numbers);
+//   - servers run what callers sent, whole, and nothing else;
 //   - a statement runs only on a connection of its caller's organisation;
 //   - no leaving server gets new work after the drain bound;
 //   - no process ends by itself, and a stop ends within the grace period;
@@ -19,6 +22,7 @@
 #include "soak/Faults.h"
 #include "soak/Keys.h"
 
+#include <array>
 #include <filesystem>
 #include <iostream>
 #include <thread>
@@ -36,6 +40,28 @@
 constexpr Duration kStep = 20ms;
 constexpr Duration kProbeInterval = 1s;
 
+// What follows the numbers that callers write.
+constexpr std::array kEndings = {
+  "",
+  " ",
+  "\n",
+  "\r",
+  "\nsecond\nthird",
+  "\nQUERY q COMMIT",
+  "\nCOMPLETE forged\nREADY I -",
+};
+
+// Servers answer twice in half of the runs.
+tests::AnswerFaults
+MakeAnswerFaults(std::uint64_t aSeed)
+{
+  return aSeed % 2 != 0 ? tests::AnswerFaults{}
+                        : tests::AnswerFaults{ .repeatedShare_ = 0.03,
+                                               .maxRepeatDelay_ = 200ms,
+                                               .busyShare_ = 0.01,
+                                               .seed_ = aSeed };
+}
+
 // One caller, in sessions one after the other.
 class CallerLoop
 {
@@ -70,7 +96,11 @@
       for (int left = 20 + static_cast<int>(random_() % 400);
            left > 0 && !aStop;
            left--) {
-        if (!Act(*caller, strict, database, written)) {
+        const bool goesOn = Act(*caller, strict, database, written);
+        if (caller->HasUnreadMessage()) {
+          history_.RecordFailure("an answer came that belongs to no statement");
+        }
+        if (!goesOn) {
           break;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds(random_() % 60));
@@ -92,9 +122,12 @@
       const std::uint64_t least = aStrict ? acknowledged_ : aWritten;
       const auto lines = aCaller.Query("READ " + item);
       if (tests::IsDone(lines)) {
-        const std::string row = lines.front().substr(4);
+        const std::string& row = lines.front();
         history_.RecordRead(
-          number_, row.empty() ? 0 : std::stoull(row), least, aDatabase);
+          number_,
+          row.starts_with("ROW ") ? ReadNumber(row.substr(4)).value_or(0) : 0,
+          least,
+          aDatabase);
       }
       return IsOpen(lines);
     }
@@ -103,7 +136,8 @@
       return false;
     }
     const std::uint64_t value = ++nextValue_;
-    auto lines = aCaller.Query(fmt::format("WRITE {} {}", item, value));
+    auto lines = aCaller.Query(fmt::format(
+      "WRITE {} {}{}", item, value, kEndings[random_() % kEndings.size()]));
     bool committing = !inTransaction;
     if (inTransaction && tests::IsDone(lines)) {
       std::this_thread::sleep_for(std::chrono::milliseconds(random_() % 200));
@@ -183,7 +217,9 @@
       .entryVms_ = aOptions.entryVms_,
       .network_ = 16 + getpid() % 200,
       .statementDuration_ = 3ms,
-      .keepsFolder_ = !aOptions.logs_.empty() });
+      .keepsFolder_ = !aOptions.logs_.empty(),
+      .faults_ = MakeAnswerFaults(aSeed),
+      .recordsStatements_ = true });
   const Time startEnd = ReadClock() + kStartLimit;
   while (deployment.ReplaceConfig(1, MakeConfig(1)) != 200 &&
          ReadClock() < startEnd) {
@@ -245,10 +281,16 @@
     history.RecordFailure(
       fmt::format("on a connection of another organisation: {}", statement));
   }
+  for (const auto& found : deployment.FindMixedAndUnasked()) {
+    history.RecordFailure(found);
+  }
   std::string kinds;
   for (const auto& [kind, count] : faults.Counts()) {
     kinds += fmt::format(" {} {},", count, kind);
   }
+  const auto repeated = deployment.RunOnGroupThread(
+    [](auto& aGroup) { return aGroup.CountRepeatedAnswers(); });
+  kinds += fmt::format(" {} answers repeated", repeated);
   std::cout << fmt::format("seed {}: {} failures; {} reads, writes: {} "
                            "acknowledged, {} refused, {} in "
                            "doubt;{}\n",
