--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -344,6 +344,19 @@
     }) == std::vector<std::string>{ "kept" });
   }
 
+  SECTION("a transaction without statements is committed by a server")
+  {
+    LineCaller caller(deployment.EntryHost(2), kCallerPort);
+    REQUIRE(caller.Open("primary"));
+    for (const char* begin : { "BEGIN", "BEGIN READ" }) {
+      CHECK(IsDone(caller.Query(begin)));
+      const auto lines = caller.Query("COMMIT");
+      REQUIRE(lines.size() == 2);
+      CHECK(lines[0].starts_with("COMPLETE db-"));
+      CHECK(lines[1] == "READY I -");
+    }
+  }
+
   SECTION("sessions need the key of an organisation, and end when it is "
           "withdrawn")
   {
