--- a/tests/LineDeployment.cpp
+++ b/tests/LineDeployment.cpp
@@ -65,6 +65,23 @@
          aText.starts_with("STEPDOWN ");
 }
 
+// True if a caller sent the statement, or what the statement prepares. `aTexts`
+// are the texts of all that callers sent, without names.
+bool
+IsAsked(const ReceivedStatement& aStatement,
+        const std::map<std::string, SentStatement>& aSent,
+        const std::set<std::string>& aTexts)
+{
+  const std::string text = RemoveName(aStatement.text_);
+  if (aStatement.id_ != "-") {
+    const auto sender = aSent.find(aStatement.id_);
+    return sender != aSent.end() && RemoveName(sender->second.text_) == text;
+  }
+  const bool preparesSession =
+    text.starts_with("SET ") || text.starts_with("PREPARE ");
+  return preparesSession ? aTexts.contains(text) : IsProxyStatement(text);
+}
+
 // True for statements whose success needs the answer of a server.
 bool
 NeedsServer(const std::string& aText)
@@ -499,16 +516,7 @@
   std::vector<std::string> found;
   std::map<std::string, std::vector<std::vector<std::string>>> answers;
   for (const auto& statement : received) {
-    const auto sender = sent.find(statement.id_);
-    const bool isAsked =
-      statement.id_ == "-"
-        ? IsProxyStatement(statement.text_) ||
-            ((statement.text_.starts_with("SET ") ||
-              statement.text_.starts_with("PREPARE ")) &&
-             texts.contains(RemoveName(statement.text_)))
-        : sender != sent.end() &&
-            RemoveName(sender->second.text_) == RemoveName(statement.text_);
-    if (!isAsked) {
+    if (!IsAsked(statement, sent, texts)) {
       found.push_back(fmt::format("nobody sent {:?}, which was run with id {}",
                                   statement.text_,
                                   statement.id_));
--- a/tests/LineGroup.cpp
+++ b/tests/LineGroup.cpp
@@ -409,15 +409,7 @@
   if (!answer.error_.empty() && !isBusy && aConnection.inTransaction_) {
     aConnection.transactionFailed_ = true;
   }
-  std::vector<std::string> lines;
-  for (const auto& row : answer.rows_) {
-    lines.push_back("ROW " + row);
-  }
-  lines.push_back(
-    answer.error_.empty()
-      ? "COMPLETE " + (answer.signature_.empty() ? "-" : answer.signature_)
-      : fmt::format(
-          "ERROR {} {}", answer.error_, servers_[aConnection.server_].id_));
+  auto lines = ListLines(answer, server);
   std::string out;
   for (const auto& line : lines) {
     out += line;
@@ -436,6 +428,22 @@
   co_return out;
 }
 
+std::vector<std::string>
+LineGroup::ListLines(const Answer& aAnswer, const Server& aServer)
+{
+  std::vector<std::string> lines;
+  for (const auto& row : aAnswer.rows_) {
+    lines.push_back("ROW " + row);
+  }
+  if (!aAnswer.error_.empty()) {
+    lines.push_back(fmt::format("ERROR {} {}", aAnswer.error_, aServer.id_));
+  } else {
+    lines.push_back("COMPLETE " +
+                    (aAnswer.signature_.empty() ? "-" : aAnswer.signature_));
+  }
+  return lines;
+}
+
 LineGroup::Answer
 LineGroup::RunStatement(Connection& aConnection, std::string_view aText)
 {
--- a/tests/LineGroup.h
+++ b/tests/LineGroup.h
@@ -206,6 +206,9 @@
                        const std::string& aData);
   Answer EndTransaction(Connection& aConnection, bool aCommit);
   Answer MakeStatusAnswer(const Server& aServer) const;
+  // Returns the lines of the answer before READY.
+  static std::vector<std::string> ListLines(const Answer& aAnswer,
+                                            const Server& aServer);
   void AppendCommit(Server& aServer,
                     const std::string& aItem,
                     std::string aData);
