--- a/control/Failover.h
+++ b/control/Failover.h
@@ -162,6 +162,10 @@
     Time leasesRevokedAt_;
     std::optional<Time> firstStatusAt_;         // in this phase
     std::map<ServerId, ServerStatus> statuses_; // in this phase
+    // Statuses of earlier requests are out of date: the first request that
+    // counts, and the last one of each server that was answered.
+    std::uint64_t firstCallId_ = 0;
+    std::map<ServerId, std::uint64_t> answeredCallIds_;
     ServerId successor_;
     bool oldPrimarySteppedDown_ = false;
     bool promotionAccepted_ = false;
@@ -227,6 +231,8 @@
                      Time aNow);
   void SetPhase(Replacement& aReplacement, Phase aPhase, Time aNow);
   void DropTimedOutCalls(Time aNow);
+  // Ignores the answers to promotion requests that were sent so far.
+  void DropPromotionCalls(const DatabaseId& aDatabase);
 
   FailoverTiming timing_;
   std::optional<Time> electedAt_; // first tick of this leadership
--- a/tests/SessionWorld.cpp
+++ b/tests/SessionWorld.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kLeaderClockOffset = 777s;
 constexpr Duration kNetDelay = 1ms;
 constexpr Duration kConnectDelay = 12ms;
+constexpr Duration kMaxRepeatDelay = 400ms; // of a second answer
 constexpr Duration kPromoteDelay = 100ms;
 constexpr Duration kReplaced = 1s; // then an old primary has heard of the new
 constexpr Duration kAge = 1500ms;  // allowed to bounded reads
@@ -210,9 +211,13 @@
     }
     ScheduleAfter(kConnectDelay, [this, key, server] {
       if (servers_[server].up_) {
-        connections_[key].server_ = server;
-        connections_[key].gateway_ = key.first;
+        Connection& connection = connections_[key];
+        connection.server_ = server;
+        connection.gateway_ = key.first;
+        connection.answers_ =
+          ConnectionAnswers(fmt::format("{}.{}", key.first, key.second));
         StepGateway(key.first, ServerLinkOpened{ key.second });
+        RepeatAnswer(key, {});
       } else {
         StepGateway(key.first, ServerLinkLost{ key.second, {} });
       }
@@ -290,8 +295,7 @@
     at->second.inbox_.pop_front();
     at->second.busy_ = false;
     ServerAnswer answer = Execute(at->second, command);
-    const bool lost =
-      works && std::uniform_real_distribution<>(0, 1)(random_) < loss_;
+    const bool lost = works && Draw(loss_);
     if (!lost) {
       AnswerLink(aKey, std::move(answer));
     }
@@ -302,6 +306,7 @@
 void
 SessionWorld::AnswerLink(ConnectionKey aKey, ServerAnswer aAnswer)
 {
+  RepeatAnswer(aKey, aAnswer);
   ScheduleAfter(kNetDelay, [this, aKey, answer = std::move(aAnswer)] {
     if (connections_.contains(aKey)) {
       StepGateway(aKey.first, ServerLinkAnswered{ aKey.second, answer });
@@ -309,6 +314,23 @@
   });
 }
 
+// Gives some answers once more, later, while the connection is open.
+void
+SessionWorld::RepeatAnswer(ConnectionKey aKey, const ServerAnswer& aAnswer)
+{
+  if (config_.repeats_ == 0 || !Draw(config_.repeats_)) {
+    return;
+  }
+  const Duration delay(random_() %
+                       static_cast<std::uint64_t>(kMaxRepeatDelay.count()));
+  ScheduleAfter(kNetDelay + delay, [this, aKey, answer = aAnswer] {
+    if (connections_.contains(aKey)) {
+      repeats_++;
+      StepGateway(aKey.first, ServerLinkAnswered{ aKey.second, answer });
+    }
+  });
+}
+
 void
 SessionWorld::LoseLink(ConnectionKey aKey)
 {
@@ -331,7 +353,7 @@
 SessionWorld::Execute(Connection& aConnection, const ServerCommand& aCommand)
 {
   Server& server = servers_[aConnection.server_];
-  ServerAnswer answer;
+  std::optional<SessionError> error;
   switch (aCommand.kind_) {
     case CommandKind::Reset:
       aConnection.values_.clear();
@@ -347,99 +369,107 @@
     case CommandKind::Begin:
     case CommandKind::BeginReadOnly:
       if (!Holds(server, aCommand.minPoint_)) {
-        answer.error_ = SessionError::Behind;
+        error = SessionError::Behind;
       } else if (aCommand.kind_ == CommandKind::Begin && !server.primary_) {
-        answer.error_ = SessionError::ReadOnly;
+        error = SessionError::ReadOnly;
       } else {
-        Check(!aConnection.inside_, "a begin inside a transaction");
-        aConnection.inside_ = true;
+        Check(!aConnection.IsInside(), "a begin inside a transaction");
         aConnection.reads_ = aCommand.kind_ == CommandKind::BeginReadOnly;
         aConnection.writes_.clear();
         aConnection.owner_.clear();
       }
       break;
     case CommandKind::Rollback:
-      aConnection.inside_ = false;
       aConnection.writes_.clear();
       break;
     default:
-      answer = ExecuteStatement(aConnection, aCommand);
+      error = config_.refusals_ > 0 && Draw(config_.refusals_)
+                ? SessionError::Overloaded
+                : ExecuteStatement(aConnection, aCommand);
       break;
   }
-  answer.state_ =
-    aConnection.inside_ ? TransactionState::Open : TransactionState::Idle;
+  ServerAnswer answer = aConnection.answers_.Answer(aCommand, error);
   answer.point_ = { server.term_, server.log_.size() };
+  if (!answer.signature_.empty()) {
+    const auto sent = statements_.find(aCommand.id_);
+    if (sent != statements_.end() &&
+        sent->second.kind_ == StatementKind::Read) {
+      answer.rows_ = { aCommand.id_, answer.signature_ };
+    }
+    runs_[answer.signature_] = { aCommand.id_, answer.rows_ };
+  }
   return answer;
 }
 
-ServerAnswer
+// Returns the error of a statement that has not run.
+std::optional<SessionError>
 SessionWorld::ExecuteStatement(Connection& aConnection,
                                const ServerCommand& aCommand)
 {
-  ServerAnswer answer;
   Server& server = servers_[aConnection.server_];
-  const auto known = callerOfId_.find(aCommand.id_);
-  if (known == callerOfId_.end()) {
+  const auto known = statements_.find(aCommand.id_);
+  if (known == statements_.end()) {
     Check(false, "a statement that nobody sent: " + aCommand.id_);
-    return answer;
+    return std::nullopt;
   }
-  const Caller& caller = callers_[known->second];
+  const SentStatement& statement = known->second;
+  const Caller& caller = callers_[statement.caller_];
   const bool current = caller.waiting_ == aCommand.id_;
-  const bool isNewWork = !aConnection.inside_ || aConnection.owner_.empty();
+  const bool isNewWork = !aConnection.IsInside() || aConnection.owner_.empty();
   Check(!isNewWork || !server.leavingSince_ ||
           now_ - *server.leavingSince_ < kServerDrainBound,
         fmt::format("a statement reached {} after it had been leaving for too "
                     "long",
                     ServerName(aConnection.server_)));
   if (!Holds(server, aCommand.minPoint_)) {
-    answer.error_ = SessionError::Behind;
-    return answer;
+    return SessionError::Behind;
   }
-  bool writes = caller.kind_ == StatementKind::Write;
+  bool writes = statement.kind_ == StatementKind::Write;
   if (aCommand.kind_ == CommandKind::Execute) {
     const auto prepared = aConnection.prepared_.find(aCommand.name_);
     if (prepared == aConnection.prepared_.end()) {
       Check(false, "an unknown prepared name was executed");
-      answer.error_ = SessionError::NoStatement;
-      return answer;
+      return SessionError::NoStatement;
     }
     writes = prepared->second.first;
   }
   if (current) {
     Check(aConnection.values_ == caller.values_, "values of another session");
-    Check(aConnection.inside_ == caller.inside_,
-          "a statement outside its transaction: " + aCommand.id_);
-    if (aConnection.inside_) {
-      Check(aConnection.owner_.empty() || aConnection.owner_ == caller.name_,
-            "a statement inside another session's transaction");
-      aConnection.owner_ = caller.name_;
-    }
   }
-  if (aConnection.inside_ && !aConnection.reads_ && !server.primary_) {
-    answer.error_ = SessionError::ReadOnly;
-    aConnection.inside_ = false;
-    return answer;
+  Check(aConnection.IsInside() == !statement.transaction_.empty(),
+        "a statement outside its transaction: " + aCommand.id_);
+  if (aConnection.IsInside()) {
+    Check(aConnection.owner_.empty() ||
+            aConnection.owner_ == statement.transaction_,
+          fmt::format("a statement inside another transaction: {} in {}",
+                      aCommand.id_,
+                      aConnection.owner_));
+    aConnection.owner_ = statement.transaction_;
+  }
+  if (aConnection.answers_.State() == TransactionState::Failed) {
+    aConnection.writes_.clear();
+    return std::nullopt; // the transaction's error is the answer
+  }
+  if (aConnection.IsInside() && !aConnection.reads_ && !server.primary_) {
+    return SessionError::ReadOnly;
   }
-  if (caller.kind_ == StatementKind::Commit && current) {
+  if (aCommand.endsTransaction_) {
     CommitAll(server, aConnection.writes_);
-    aConnection.inside_ = false;
     aConnection.writes_.clear();
   } else if (writes) {
-    if (!server.primary_ || (aConnection.inside_ && aConnection.reads_)) {
-      answer.error_ = SessionError::ReadOnly;
-      return answer;
+    if (!server.primary_ || (aConnection.IsInside() && aConnection.reads_)) {
+      return SessionError::ReadOnly;
     }
-    const Commit write{ {}, caller.item_, caller.value_ };
-    if (aConnection.inside_) {
+    const Commit write{ {}, statement.item_, statement.value_ };
+    if (aConnection.IsInside()) {
       aConnection.writes_.push_back(write);
-    } else if (current) {
+    } else {
       CommitAll(server, { write });
     }
   } else if (current) {
     CheckRead(server, caller, aConnection);
   }
-  answer.signature_ = "signed";
-  return answer;
+  return std::nullopt;
 }
 
 void
@@ -465,7 +495,8 @@
                         const Connection& aConnection)
 {
   const auto shows = [&](const std::string& aValue, const Fate& aFate) {
-    const bool logged = aFate.position_ <= aServer.log_.size() &&
+    const bool logged = aFate.position_ > 0 && // else it was not committed
+                        aFate.position_ <= aServer.log_.size() &&
                         aServer.log_[aFate.position_ - 1].value_ == aValue;
     return logged || std::any_of(aConnection.writes_.begin(),
                                  aConnection.writes_.end(),
--- a/tests/SessionWorld.h
+++ b/tests/SessionWorld.h
@@ -8,12 +8,13 @@
 //   world.Failures();   // empty if every promise held
 //
 // The same seed gives the same run. Faults: servers that crash, fall behind,
-// lose answers or hold them; gateways that freeze; changes of primary that
-// wait for the leases.
+// lose answers, hold them, or give them twice; gateways that freeze; changes of
+// primary that wait for the leases.
 
 #include "control/LeaseTable.h"
 #include "control/PrimaryPoints.h"
 #include "gateway/Gateway.h"
+#include "tests/ConnectionAnswers.h"
 #include "tests/Timeline.h"
 
 #include <map>
@@ -36,6 +37,10 @@
   // Servers say that they leave, some of them all at the same time, and stay
   // again after the drain bound. The news reaches some gateways late.
   bool leavings_ = false;
+  // Share of the commands that servers answer a second time, later.
+  double repeats_ = 0;
+  // Share of the statements that servers refuse for lack of capacity.
+  double refusals_ = 0;
 };
 
 // A server that says that it leaves is given new work for less than this time.
@@ -54,6 +59,7 @@
   std::size_t Refused() const { return refused_; }
   std::size_t Promotions() const { return promotions_; }
   std::size_t Leavings() const { return leavings_; }
+  std::size_t Repeats() const { return repeats_; }
 
   // Faults by hand.
   void CrashServer(std::size_t aServer);
@@ -76,14 +82,16 @@
   {
     std::size_t server_ = 0;
     std::size_t gateway_ = 0;
-    bool inside_ = false;
+    ConnectionAnswers answers_;
     bool reads_ = false;
     std::map<std::string, std::string> values_;
     std::map<std::string, std::pair<bool, std::string>> prepared_;
     std::vector<Commit> writes_; // of the open transaction
-    std::string owner_;          // session that began the transaction
+    std::string owner_;          // transaction of a caller
     std::deque<ServerCommand> inbox_;
     bool busy_ = false;
+
+    bool IsInside() const { return answers_.State() != TransactionState::Idle; }
   };
 
   struct Server
@@ -112,11 +120,29 @@
     Time sentAt_;       // of the statement, or of its transaction's begin
     bool inside_ = false;
     bool reads_ = false;
+    std::size_t transactions_ = 0; // begun so far
     std::map<std::string, std::string> txWrites_;
     int left_ = 0;              // statements until the transaction ends
     std::set<std::string> own_; // values acknowledged to this session
   };
 
+  // A statement that was sent, as the server sees it.
+  struct SentStatement
+  {
+    std::size_t caller_ = 0;
+    StatementKind kind_ = StatementKind::Malformed;
+    std::string item_;
+    std::string value_;       // that is written
+    std::string transaction_; // of the caller; empty: none
+  };
+
+  // A run of a statement at a server.
+  struct StatementRun
+  {
+    std::string id_; // of the statement
+    std::vector<std::string> rows_;
+  };
+
   // What the world knows of one written value.
   struct Fate
   {
@@ -140,13 +166,16 @@
   void Receive(ConnectionKey aKey, ServerCommand aCommand);
   void RunNext(ConnectionKey aKey);
   void AnswerLink(ConnectionKey aKey, ServerAnswer aAnswer);
+  void RepeatAnswer(ConnectionKey aKey, const ServerAnswer& aAnswer);
   void LoseLink(ConnectionKey aKey);
   void Apply(wire::Change aChange);
   void Grant(std::size_t aGateway, const wire::LeaseRequest& aRequest);
   void AwaitFree(bool aStepDown);
   ServerAnswer Execute(Connection& aConnection, const ServerCommand& aCommand);
-  ServerAnswer ExecuteStatement(Connection& aConnection,
-                                const ServerCommand& aCommand);
+  std::optional<SessionError> ExecuteStatement(Connection& aConnection,
+                                               const ServerCommand& aCommand);
+  // Checks that a success is that of the caller's own statement.
+  void CheckSuccess(const std::string& aId, const SessionReply& aReply);
   void CheckRead(const Server& aServer,
                  const Caller& aCaller,
                  const Connection& aConnection);
@@ -158,6 +187,8 @@
   void Act(std::size_t aCaller);
   void Send(std::size_t aCaller, SessionStatement aStatement);
   void Answered(std::size_t aCaller, const SessionReply& aReply);
+  // Returns true with the probability.
+  bool Draw(double aProbability);
   void Disturb();
   void AnnounceServer(std::size_t aServer);
   void LeaveServers();
@@ -171,9 +202,10 @@
   std::vector<Server> servers_;
   std::map<ConnectionKey, Connection> connections_;
   std::vector<Caller> callers_;
-  std::map<std::string, std::size_t> callerOfId_;
-  std::map<std::string, Fate> fates_;     // by written value
-  std::vector<std::string> acknowledged_; // values, in order
+  std::map<std::string, SentStatement> statements_; // by id
+  std::map<std::string, StatementRun> runs_;        // by signature
+  std::map<std::string, Fate> fates_;               // by written value
+  std::vector<std::string> acknowledged_;           // values, in order
   ControlState state_;
   std::uint64_t index_ = 0;
   LeaseTable leases_{ LeaseTiming{} };
@@ -187,6 +219,7 @@
   std::size_t refused_ = 0;
   std::size_t promotions_ = 0;
   std::size_t leavings_ = 0;
+  std::size_t repeats_ = 0;
   std::vector<std::string> failures_;
 };
 
