--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -72,7 +72,7 @@
 void
 CheckNothingMixedOrUnasked(LineDeployment& aDeployment)
 {
-  constexpr std::size_t kMaxShown = 12;
+  constexpr std::size_t kMaxShown = 60;
   const auto found = aDeployment.FindMixedAndUnasked();
   for (std::size_t i = 0; i < std::min(found.size(), kMaxShown); i++) {
     UNSCOPED_INFO(found[i]);
