Leases: a release that arrives late ends no lease that was granted after it

Releases go as datagrams, which can come late or twice, and were matched to the leader's term and the primary's term only. If a primary that was suspected stays (the fence is lifted, leases are granted again) and is suspected anew, a second copy of the first release counted as the answer to the second revocation: the leader could replace the primary while the VM still held its lease, so that writes acknowledged under it would be lost.

Now each fence has its own id, which the revocation carries and the release repeats.

--- a/control/ControlNodeLeases.cpp
+++ b/control/ControlNodeLeases.cpp
@@ -200,13 +200,14 @@
 }
 
 // Asks the VMs that hold leases on these primaries to give them back, each of
-// them by one message. Leases that an earlier leader granted are revoked too.
+// them by one message for all revocations of the same id. Leases that an
+// earlier leader granted are revoked too.
 void
 ControlNode::RevokeLeases(const std::vector<DatabaseId>& aDatabases,
                           Time aNow,
                           ControlActions& aOut)
 {
-  std::map<VmId, wire::LeaseRevoke> revocations;
+  std::map<std::pair<VmId, std::uint64_t>, wire::LeaseRevoke> revocations;
   for (const auto& name : aDatabases) {
     const wire::Database& database = state_.Databases().at(name);
     const std::vector<VmId> holders = leases_.ListHolders(name, aNow);
@@ -217,15 +218,17 @@
                                    database.primary(),
                                    database.primary_term(),
                                    holders.size()) });
+    const std::uint64_t id = leases_.RevocationId(name);
     for (const auto& vm : holders) {
-      wire::PrimaryLease& lease = *revocations[vm].add_leases();
+      wire::PrimaryLease& lease = *revocations[{ vm, id }].add_leases();
       lease.set_database(name);
       lease.set_server(database.primary());
       lease.set_term(database.primary_term());
     }
   }
-  for (auto& [vm, revoke] : revocations) {
-    revoke.set_leader_term(leases_.LeaderTerm());
+  for (auto& [vmAndId, revoke] : revocations) {
+    const auto& [vm, id] = vmAndId;
+    revoke.set_leader_term(id);
     if (vm == config_.self_.id()) {
       aOut.push_back(DeliverLeaseRevocation{ std::move(revoke) });
     } else if (membership_.IsLive(vm)) {
--- a/control/LeaseTable.cpp
+++ b/control/LeaseTable.cpp
@@ -9,6 +9,9 @@
 namespace jaydoor {
 namespace {
 
+// Of the id of a revocation; the bits above them count the fences.
+constexpr unsigned kLeaderTermBits = 40;
+
 // True if the database has no primary, or its primary is being replaced.
 bool
 IsPrimaryChanging(const wire::Database& aDatabase)
@@ -59,6 +62,7 @@
   leaderTerm_ = aTerm;
   holders_.clear();
   fencedTerms_.clear();
+  liftedFences_.clear();
   listsOutdated_ = true;
   for (const auto& [vm, zone] : aState.LeaseHolders()) {
     Holder& holder = holders_[vm];
@@ -185,11 +189,14 @@
                           const wire::LeaseRelease& aRelease)
 {
   const auto holder = holders_.find(aHolder);
-  if (holder == holders_.end() || aRelease.leader_term() != leaderTerm_) {
+  if (holder == holders_.end()) {
     return;
   }
   AddListedLeases(holder->second);
   for (const auto& released : aRelease.leases()) {
+    if (aRelease.leader_term() != RevocationId(released.database())) {
+      continue;
+    }
     const auto lease = holder->second.leases_.find(released.database());
     const bool ends = lease != holder->second.leases_.end() &&
                       lease->second.term_ <= released.term();
@@ -210,7 +217,19 @@
 void
 LeaseTable::LiftFence(const DatabaseId& aDatabase)
 {
-  listsOutdated_ |= fencedTerms_.erase(aDatabase) > 0;
+  if (fencedTerms_.erase(aDatabase) > 0) {
+    listsOutdated_ = true;
+    liftedFences_[aDatabase]++;
+  }
+}
+
+std::uint64_t
+LeaseTable::RevocationId(const DatabaseId& aDatabase) const
+{
+  const auto lifted = liftedFences_.find(aDatabase);
+  return lifted == liftedFences_.end()
+           ? leaderTerm_
+           : lifted->second << kLeaderTermBits | leaderTerm_;
 }
 
 bool
--- a/control/LeaseTable.h
+++ b/control/LeaseTable.h
@@ -65,8 +65,10 @@
                                         const ControlState& aState,
                                         Time aNow);
   // Ends the leases that a VM has given back. Only answers to a revocation by
-  // this leader count: such an answer comes from the process that runs on the
-  // VM now, so neither it nor an earlier process there uses the primaries.
+  // this leader under the present fence count: such an answer comes from the
+  // process that runs on the VM now, so neither it nor an earlier process there
+  // uses the primaries, and no lease was granted since. Releases can arrive
+  // late and more than once.
   void HandleRelease(const VmId& aHolder, const wire::LeaseRelease& aRelease);
 
   // Grants no more leases on a primary of this term or an earlier one.
@@ -80,7 +82,9 @@
   std::vector<VmId> ListHolders(const DatabaseId& aDatabase, Time aNow) const;
   // Holders whose last request is recent enough to count them as reachable.
   std::size_t CountReachableHolders(Time aNow) const;
-  std::uint64_t LeaderTerm() const { return leaderTerm_; }
+  // Names revocations of the leases on a primary under its present fence, or
+  // the next one if there is none. A release has to repeat it.
+  std::uint64_t RevocationId(const DatabaseId& aDatabase) const;
 
 private:
   struct Lease
@@ -120,7 +124,8 @@
   LeaseTiming timing_;
   std::uint64_t leaderTerm_ = 0;
   std::map<VmId, Holder> holders_;
-  std::map<DatabaseId, std::uint64_t> fencedTerms_; // highest fenced term
+  std::map<DatabaseId, std::uint64_t> fencedTerms_;  // highest fenced term
+  std::map<DatabaseId, std::uint64_t> liftedFences_; // number since the reset
   std::map<ZoneId, ZoneListPtr> lists_;         // of the state with listsIndex_
   std::map<ZoneId, ZoneListPtr> outdatedLists_; // those before
   std::uint64_t listsIndex_ = 0;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -241,6 +241,37 @@
     CHECK_FALSE(table.HasNoHolders(kDatabase, kStart));
   }
 
+  SECTION("a release that arrives late ends no lease granted after it")
+  {
+    table.Grant("vm-b", MakeRequest(), log.state_, kStart);
+    table.Fence(kDatabase, 1);
+    const auto release = MakeRelease(1, table.RevocationId(kDatabase));
+    table.HandleRelease("vm-b", release);
+    REQUIRE(table.ListHolders(kDatabase, kStart) ==
+            std::vector<VmId>{}); // vm-a has none yet
+
+    // The primary stays: leases on it are granted again.
+    table.LiftFence(kDatabase);
+    table.Grant("vm-b", MakeRequest(), log.state_, kStart + 100ms);
+
+    SECTION("before the primary is fenced again")
+    {
+      table.HandleRelease("vm-b", release);
+      table.Fence(kDatabase, 1);
+      CHECK_FALSE(table.HasNoHolders(kDatabase, kStart + 200ms));
+    }
+
+    SECTION("while the lease is revoked again")
+    {
+      table.Fence(kDatabase, 1);
+      table.HandleRelease("vm-b", release);
+      CHECK_FALSE(table.HasNoHolders(kDatabase, kStart + 200ms));
+      table.HandleRelease("vm-b",
+                          MakeRelease(1, table.RevocationId(kDatabase)));
+      CHECK(table.HasNoHolders(kDatabase, kStart + 200ms));
+    }
+  }
+
   SECTION("a new leader assumes that every holder in the state has a lease")
   {
     table.Reset(log.state_, 6, kStart);
