HTTP client: bytes that answer no request are not taken for the next answer

The client watched an idle connection only until its first answer. A second copy of an answer, or a 408 that a server sends before it closes an idle connection, stayed unread and became the answer to the next request: callers got rows of another statement, promoters another server's state. An interim answer (1xx) was taken for the answer, and the answer for that of the next request. A connection that ended after an answer was noticed only by the request lost on it.

Now the connection is watched in every pause, bytes in it close it, also if they are found when the next request is sent, and interim answers are skipped. HTTP has no ids: a second answer that arrives after the next request was sent can't be told from its answer; docs/UPSTREAM.md asks for one answer.

--- a/daemon/Http.cpp
+++ b/daemon/Http.cpp
@@ -417,29 +417,48 @@
         SetSocketOptions(self->stream_.socket());
         if (!self->closed_) {
           self->events_.opened_();
-          self->WatchForClose();
+          self->WatchWhileIdle();
         }
       });
   }
 
-  // Detects that the other side closes an idle connection.
-  void WatchForClose()
+  // Detects that the other side closes an idle connection, or sends bytes that
+  // answer no request.
+  void WatchWhileIdle()
   {
+    if (awaitingResponse_ || closed_) {
+      return;
+    }
     stream_.socket().async_wait(
       Tcp::socket::wait_read,
-      [self = shared_from_this()](boost::system::error_code aError) {
-        if (!aError && !self->awaitingResponse_ && !self->closed_) {
+      [self = shared_from_this(),
+       requests = requestCount_](boost::system::error_code aError) {
+        if (!aError && self->requestCount_ == requests) {
           self->HandleLost();
         }
       });
   }
 
+  // Returns true if bytes have arrived that answer no request. They would be
+  // read as the answer to the next one.
+  bool HasUnaskedBytes()
+  {
+    boost::system::error_code ignored;
+    return buffer_.size() > 0 || stream_.socket().available(ignored) > 0;
+  }
+
   void SendRequest(std::string_view aPath,
                    std::string aBody,
                    std::string_view aSecret,
                    std::string_view aTrace)
   {
     awaitingResponse_ = true;
+    requestCount_++;
+    if (HasUnaskedBytes()) {
+      asio::post(stream_.get_executor(),
+                 [self = shared_from_this()] { self->HandleLost(); });
+      return;
+    }
     request_ = {};
     request_.method(aBody.empty() ? http::verb::get : http::verb::post);
     request_.version(11);
@@ -492,13 +511,19 @@
     if (closed_) {
       return;
     }
+    if (http::to_status_class(parser_->get().result_int()) ==
+        http::status_class::informational) {
+      ReadResponse(); // the answer itself follows
+      return;
+    }
     awaitingResponse_ = false;
     auto response = parser_->release();
     const bool keepAlive = response.keep_alive();
     events_.answered_(response.result_int(), std::move(response.body()));
-    if (!keepAlive && !awaitingResponse_) {
+    if (!awaitingResponse_ && (!keepAlive || HasUnaskedBytes())) {
       HandleLost();
     }
+    WatchWhileIdle();
   }
 
   void HandleLost()
@@ -523,6 +548,7 @@
   beast::flat_buffer buffer_;
   http::request<http::string_body> request_;
   std::optional<http::response_parser<http::string_body>> parser_;
+  std::uint64_t requestCount_ = 0;
   bool awaitingResponse_ = false; // a request was sent, no answer so far
   bool closed_ = false;
 };
--- /dev/null
+++ b/tests/framing_test.cpp
@@ -0,0 +1,312 @@
+// Tests that messages end where their protocol ends them, that text inside a
+// message is not taken for another message, and that an answer is given to the
+// request that it belongs to.
+
+#include "daemon/Http.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace jaydoor::tests {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr char kHost[] = "127.0.0.1";
+constexpr Duration kCallLimit = 2s;
+constexpr Duration kSettleTime = 30ms; // for bytes to arrive over loopback
+
+std::string
+MakeHttpAnswer(std::string_view aBody)
+{
+  return fmt::format(
+    "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", aBody.size(), aBody);
+}
+
+// An HTTP server whose answers are scripted bytes: one text for each request,
+// on whichever connection it arrives.
+class ScriptedServer
+{
+public:
+  ScriptedServer(asio::io_context& aContext, std::deque<std::string> aTexts)
+    : context_(aContext)
+    , acceptor_(aContext, Tcp::endpoint(asio::ip::make_address(kHost), 0))
+    , texts_(std::move(aTexts))
+  {
+    asio::co_spawn(context_, Accept(), asio::detached);
+  }
+
+  std::uint16_t Port() const { return acceptor_.local_endpoint().port(); }
+  int CountConnections() const { return connections_; }
+
+  // Sends bytes that nobody asked for on the newest connection.
+  void SendUnasked(const std::string& aBytes)
+  {
+    asio::write(*newest_, asio::buffer(aBytes));
+  }
+
+  // Closes the newest connection.
+  void CloseNewest() { newest_->close(); }
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    while (true) {
+      Tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
+      connections_++;
+      newest_ = std::make_shared<Tcp::socket>(std::move(socket));
+      asio::co_spawn(context_, Serve(newest_), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(std::shared_ptr<Tcp::socket> aSocket)
+  {
+    std::string received;
+    boost::system::error_code error;
+    while (!texts_.empty()) {
+      const std::size_t size = co_await asio::async_read_until(
+        *aSocket,
+        asio::dynamic_buffer(received),
+        "\r\n\r\n",
+        asio::redirect_error(asio::use_awaitable, error));
+      if (error || texts_.empty()) {
+        co_return;
+      }
+      received.erase(0, size);
+      const std::string text = std::move(texts_.front());
+      texts_.pop_front();
+      co_await asio::async_write(
+        *aSocket,
+        asio::buffer(text),
+        asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+
+  asio::io_context& context_;
+  Tcp::acceptor acceptor_;
+  std::deque<std::string> texts_;
+  std::shared_ptr<Tcp::socket> newest_;
+  int connections_ = 0;
+};
+
+// Runs the context for as long as bytes take to arrive.
+void
+Settle(asio::io_context& aContext)
+{
+  aContext.restart();
+  aContext.run_for(kSettleTime);
+}
+
+// Calls over a connection that stays open if it can.
+class Caller
+{
+public:
+  Caller(asio::io_context& aContext, std::uint16_t aPort)
+    : context_(aContext)
+    , client_(aContext, kHost, aPort)
+  {
+  }
+
+  HttpCallResult Call()
+  {
+    const std::string path = "/";
+    const std::string body;
+    HttpCallResult result;
+    bool done = false;
+    asio::co_spawn(
+      context_,
+      [&]() -> asio::awaitable<void> {
+        result = co_await client_.Call(path, body, kCallLimit, body, body);
+        done = true;
+      },
+      asio::detached);
+    context_.restart();
+    while (!done) {
+      context_.run_one();
+    }
+    return result;
+  }
+
+private:
+  asio::io_context& context_;
+  HttpCoroutineClient client_;
+};
+
+} // namespace
+
+TEST_CASE("HTTP answers are given to the request that they belong to",
+          "[framing]")
+{
+  asio::io_context context(1);
+  const std::string first = MakeHttpAnswer("first");
+  const std::string second = MakeHttpAnswer("second");
+
+  SECTION("a second copy of an answer does not answer the next request")
+  {
+    SECTION("if it arrives together with the first copy")
+    {
+      ScriptedServer server(context, { first + first, second });
+      Caller caller(context, server.Port());
+      CHECK(caller.Call().body_ == "first");
+      Settle(context);
+      CHECK(caller.Call().body_ == "second");
+      CHECK(server.CountConnections() == 2);
+    }
+
+    SECTION("if it arrives while the connection is idle")
+    {
+      ScriptedServer server(context, { first, second });
+      Caller caller(context, server.Port());
+      CHECK(caller.Call().body_ == "first");
+      server.SendUnasked(first);
+      Settle(context);
+      CHECK(caller.Call().body_ == "second");
+      CHECK(server.CountConnections() == 2);
+    }
+
+    SECTION("if it has arrived unnoticed when the next request is sent")
+    {
+      ScriptedServer server(context, { first, second });
+      Caller caller(context, server.Port());
+      CHECK(caller.Call().body_ == "first");
+      server.SendUnasked(first);
+      std::string next = caller.Call().body_;
+      if (next.empty()) {
+        next = caller.Call().body_; // the connection was given up
+      }
+      CHECK(next == "second");
+    }
+
+    SECTION("if the next request is sent from the callback of the first")
+    {
+      ScriptedServer server(context, { first + first, second });
+      std::vector<std::string> bodies;
+      int losses = 0;
+      std::optional<HttpClient> client;
+      HttpClientEvents events;
+      events.opened_ = [&] { client->SendRequest("/", ""); };
+      events.lost_ = [&] { losses++; };
+      events.answered_ = [&](unsigned, std::string aBody) {
+        bodies.push_back(std::move(aBody));
+        if (bodies.size() == 1) {
+          client->SendRequest("/", "");
+        }
+      };
+      client.emplace(context, std::move(events));
+      client->Open(kHost, server.Port());
+      Settle(context);
+      CHECK(bodies == std::vector<std::string>{ "first" });
+      CHECK(losses == 1);
+    }
+  }
+
+  SECTION("an interim answer is not the answer")
+  {
+    const std::string interim =
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    ScriptedServer server(context, { interim + first, second });
+    Caller caller(context, server.Port());
+    const auto result = caller.Call();
+    CHECK(result.status_ == 200);
+    CHECK(result.body_ == "first");
+    CHECK(caller.Call().body_ == "second");
+    CHECK(server.CountConnections() == 1);
+  }
+
+  SECTION("a connection that ends after an answer is replaced before the next "
+          "request is lost on it")
+  {
+    ScriptedServer server(context, { first, second });
+    Caller caller(context, server.Port());
+    CHECK(caller.Call().body_ == "first");
+    server.CloseNewest();
+    Settle(context);
+    CHECK(caller.Call().body_ == "second");
+    CHECK(server.CountConnections() == 2);
+  }
+
+  SECTION("a connection whose answers are whole is used again")
+  {
+    ScriptedServer server(context, { first, second, first });
+    Caller caller(context, server.Port());
+    CHECK(caller.Call().body_ == "first");
+    Settle(context);
+    CHECK(caller.Call().body_ == "second");
+    CHECK(caller.Call().body_ == "first");
+    CHECK(server.CountConnections() == 1);
+  }
+}
+
+TEST_CASE("HTTP requests end where HTTP ends them", "[framing]")
+{
+  asio::io_context context(1);
+  std::vector<std::string> served; // path and body
+  HttpServer server(
+    context, {}, [&](HttpRequest aRequest) -> asio::awaitable<HttpResponse> {
+      served.push_back(aRequest.path_ + " " + aRequest.body_);
+      co_return HttpResponse{};
+    });
+  const auto port = server.Listen(kHost, 0);
+  REQUIRE(port.has_value());
+  Tcp::socket socket(context);
+  socket.connect(Tcp::endpoint(asio::ip::make_address(kHost), *port));
+  // Returns the start of what the server sent.
+  const auto send = [&](const std::string& aBytes) {
+    asio::write(socket, asio::buffer(aBytes));
+    Settle(context);
+    std::string answer(socket.available(), '\0');
+    asio::read(socket, asio::buffer(answer));
+    return answer.substr(0, 12);
+  };
+
+  SECTION("requests that arrive together are all served")
+  {
+    CHECK(send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n1"
+               "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n2") ==
+          "HTTP/1.1 200");
+    CHECK(served == std::vector<std::string>{ "/a 1", "/b 2" });
+  }
+
+  SECTION("a body that looks like a request is a body")
+  {
+    const std::string body = "\r\n\r\nPOST /x HTTP/1.1\r\n\r\n";
+    const auto head = fmt::format(
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", body.size());
+    CHECK(send(head) == "");
+    CHECK(send(body) == "HTTP/1.1 200");
+    CHECK(served == std::vector<std::string>{ "/a " + body });
+  }
+
+  SECTION("a request whose end is ambiguous is refused")
+  {
+    const auto fields =
+      GENERATE(as<std::string>(),
+               "Content-Length: 1\r\nContent-Length: 2\r\n",
+               "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+               "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n",
+               "Content-Length: 1 2\r\n",
+               "Content-Length : 1\r\n",
+               "X: a\nContent-Length: 1\r\n",
+               "X: a\rContent-Length: 1\r\n");
+    INFO(fields);
+    CHECK(send("POST /a HTTP/1.1\r\nHost: a\r\n" + fields +
+               "\r\n1POST /x HTTP/1.1\r\n\r\n") == "HTTP/1.1 400");
+    CHECK(served.empty());
+  }
+}
+
+} // namespace jaydoor::tests
