Platform: names that are no words are refused, and written as words if stored

OPEN to a server names the service, the organisation and the server as words, and the organisation's name was written as it is: with a blank its rest was read as the server's id (WRONGSRV), with CR LF as a statement. The configuration was accepted; so were hosts that no session can open and services that no server can announce, since both are words too.

A new configuration with a host, service or tenant whose name has a blank or a control character, or more than 255 bytes, gets 400; the error names it and says to rename it. One that was accepted before stays in force and is acknowledged when it is sent again (its version is not higher); there the organisation is written with %XX, since the protocol takes any word as who connects. Two names can become one word then ("a b" and "a%20b"). Other names are written as before. Heartbeats with such names were refused already; the test guards it.

Not tested: the 400 over HTTP.

--- a/tests/framing_test.cpp
+++ b/tests/framing_test.cpp
@@ -3,7 +3,11 @@
 // request that it belongs to.
 
 #include "daemon/Http.h"
+#include "platform/ConfigBody.h"
+#include "platform/HeartbeatBody.h"
+#include "platform/LineCodec.h"
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -103,6 +107,50 @@
   int connections_ = 0;
 };
 
+// Names that are no words of the wire protocol, as JSON strings.
+constexpr std::array kUnspeakableNames = {
+  std::string_view("a b"),        std::string_view(R"(a\r\nQUERY)"),
+  std::string_view(R"(a\nb)"),    std::string_view(R"(a\rb)"),
+  std::string_view(R"(a\tb)"),    std::string_view(R"(a\u0000b)"),
+  std::string_view(R"(a\u007f)"), std::string_view(" ")
+};
+
+// A configuration with one route, one service and one organisation.
+std::string
+MakeConfig(std::string_view aHost,
+           std::string_view aService,
+           std::string_view aOrganisation)
+{
+  return fmt::format(
+    R"({{"version":7,"routes":[{{"name":"r","host":"{}","pathPrefix":"/",)"
+    R"("routeType":"primary","timeoutMs":1000,"service":"{}"}}],)"
+    R"("services":[{{"name":"{}","maxConns":21}}],)"
+    R"("tenants":[{{"name":"{}","apiKeys":["k"]}}]}})",
+    aHost,
+    aService,
+    aService,
+    aOrganisation);
+}
+
+// The error of the names in the configuration; empty if they are valid.
+std::string
+GetNamesError(const std::string& aBody)
+{
+  const auto catalog = platform::ReadConfigBody(aBody);
+  REQUIRE(catalog.has_value());
+  const auto checked = platform::CheckNames(*catalog);
+  return checked ? "" : checked.error().message_;
+}
+
+// The line that opens a connection to a server.
+std::string
+WriteOpen(std::string_view aOrganisation)
+{
+  std::string bytes;
+  platform::LineCodec::WriteOpen(bytes, "g1", "i-1", aOrganisation);
+  return bytes;
+}
+
 // Runs the context for as long as bytes take to arrive.
 void
 Settle(asio::io_context& aContext)
@@ -309,4 +357,67 @@
   }
 }
 
+TEST_CASE("Names become words of messages or are refused", "[framing]")
+{
+  SECTION("a configuration is refused for a name that no message can hold, and "
+          "the error tells which and what to do")
+  {
+    for (const auto name : kUnspeakableNames) {
+      INFO(name);
+      CHECK(GetNamesError(MakeConfig(name, "s1", "o1")).find("host '") !=
+            std::string::npos);
+      CHECK(GetNamesError(MakeConfig("db", name, "o1")).find("service '") !=
+            std::string::npos);
+      const auto error = GetNamesError(MakeConfig("db", "s1", name));
+      CHECK(error.find("tenant '") != std::string::npos);
+      CHECK(error.find("rename it and send") != std::string::npos);
+    }
+    const std::string longName(256, 'x');
+    CHECK_FALSE(GetNamesError(MakeConfig("db", longName, "o1")).empty());
+  }
+
+  SECTION("other names are accepted")
+  {
+    CHECK(GetNamesError(MakeConfig("db", "s1", "o1")).empty());
+    CHECK(GetNamesError(MakeConfig("d\u00e9p\u00f4t", "s-1.x", "50%")).empty());
+    CHECK(
+      GetNamesError(MakeConfig("db", std::string(255, 'x'), "o'1")).empty());
+  }
+
+  SECTION("a configuration that is in force already is read whatever its names")
+  {
+    for (const auto name : kUnspeakableNames) {
+      INFO(name);
+      CHECK(platform::ReadConfigBody(MakeConfig(name, name, name)).has_value());
+    }
+  }
+
+  SECTION("the organisation is one word of the message that opens a connection")
+  {
+    CHECK(WriteOpen("o1") == "OPEN g1 o1 i-1\r\n");
+    CHECK(WriteOpen("50%") == "OPEN g1 50% i-1\r\n");
+    CHECK(WriteOpen("d\xc3\xa9p\xc3\xb4t") ==
+          "OPEN g1 d\xc3\xa9p\xc3\xb4t i-1\r\n");
+    CHECK(WriteOpen("a b") == "OPEN g1 a%20b i-1\r\n");
+    CHECK(WriteOpen("a\r\nQUERY - RESET") ==
+          "OPEN g1 a%0D%0AQUERY%20-%20RESET i-1\r\n");
+    CHECK(WriteOpen(" ") == "OPEN g1 %20 i-1\r\n");
+    CHECK(WriteOpen("1 % 2") == "OPEN g1 1%20%25%202 i-1\r\n");
+    CHECK(WriteOpen(std::string(1000, ' ')).size() < 300);
+  }
+
+  SECTION("a heartbeat with such a name names no server")
+  {
+    for (const auto name : kUnspeakableNames) {
+      INFO(name);
+      const auto body = fmt::format(
+        R"({{"service":"{}","address":"10.1.0.9:8080","zone":"a",)"
+        R"("version":"v1","slots":5,"state":"ready","coldRemainingMs":0,)"
+        R"("dbRole":"primary","seqNo":4}})",
+        name);
+      CHECK_FALSE(platform::ReadHeartbeatBody("i-1", body).has_value());
+    }
+  }
+}
+
 } // namespace jaydoor::tests
