Log: control characters in values are escaped

Ids, database names, organisations and errors of callers, servers and operators are logged as they came. Since a message ends at CR LF only, they can hold line feeds, and a value could forge a line of its own, or move a terminal's cursor. WriteLogLine, through which all lines go, writes control characters as \n, \r, \t or \xNN. A backslash stays as it is.

--- a/base/Log.cpp
+++ b/base/Log.cpp
@@ -99,6 +99,28 @@
   aBuffer.bytes_.erase(0, written);
 }
 
+// Appends the text with its control characters escaped: a line end in a value
+// would begin a line of its own.
+void
+AppendEscaped(std::string& aOut, std::string_view aText)
+{
+  constexpr char kDelete = 0x7f;
+  for (const char c : aText) {
+    if (c == '\n') {
+      aOut += "\\n";
+    } else if (c == '\r') {
+      aOut += "\\r";
+    } else if (c == '\t') {
+      aOut += "\\t";
+    } else if (static_cast<unsigned char>(c) < ' ' || c == kDelete) {
+      fmt::format_to(
+        std::back_inserter(aOut), "\\x{:02x}", static_cast<unsigned char>(c));
+    } else {
+      aOut += c;
+    }
+  }
+}
+
 constexpr std::array kLevelNames = { "debug", "info", "warning", "error" };
 
 constexpr std::array kEvents = {
@@ -210,13 +232,14 @@
                     .count() %
                   1000;
   auto line =
-    fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} J{:03} {} {}\n",
+    fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} J{:03} {} ",
                 fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
                 ms,
                 kLevelNames.at(static_cast<std::size_t>(info.level_)),
                 static_cast<unsigned>(info.event_),
-                info.name_,
-                aText);
+                info.name_);
+  AppendEscaped(line, aText);
+  line += '\n';
   LogBuffer& buffer = GetLogBuffer();
   const std::scoped_lock lock(buffer.mutex_);
   const auto steady = Clock::now();
--- a/tests/framing_test.cpp
+++ b/tests/framing_test.cpp
@@ -2,18 +2,23 @@
 // message is not taken for another message, and that an answer is given to the
 // request that it belongs to.
 
+#include "base/Log.h"
 #include "daemon/Http.h"
 #include "platform/ConfigBody.h"
 #include "platform/HeartbeatBody.h"
 #include "platform/LineCodec.h"
 
+#include <algorithm>
 #include <array>
+#include <cstdio>
 #include <deque>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -107,6 +112,25 @@
   int connections_ = 0;
 };
 
+// Returns what is written to standard error while the function runs.
+template<typename Function>
+std::string
+CaptureErrorOutput(const Function& aFunction)
+{
+  std::FILE* file = std::tmpfile();
+  REQUIRE(file != nullptr);
+  const int output = dup(STDERR_FILENO);
+  dup2(fileno(file), STDERR_FILENO);
+  aFunction();
+  dup2(output, STDERR_FILENO);
+  close(output);
+  std::array<char, 4096> bytes{};
+  std::rewind(file);
+  const std::size_t size = std::fread(bytes.data(), 1, bytes.size(), file);
+  std::fclose(file);
+  return { bytes.data(), size };
+}
+
 // Names that are no words of the wire protocol, as JSON strings.
 constexpr std::array kUnspeakableNames = {
   std::string_view("a b"),        std::string_view(R"(a\r\nQUERY)"),
@@ -420,4 +444,18 @@
   }
 }
 
+TEST_CASE("Text in the log begins no line of its own", "[framing]")
+{
+  const auto lines = CaptureErrorOutput([] {
+    LogEvent(Event::OperatorRefused,
+             "path={} id={}",
+             "/a\r\n2026-01-01T00:00:00.000Z info J201 leader_lost term=9",
+             "a\tb\x1b[2J\x7f\xc3\xa9");
+  });
+  CHECK(std::count(lines.begin(), lines.end(), '\n') == 1);
+  CHECK(
+    lines.find("path=/a\\r\\n2026-01-01T00:00:00.000Z info J201 leader_lost "
+               "term=9 id=a\\tb\\x1b[2J\\x7f\xc3\xa9\n") != std::string::npos);
+}
+
 } // namespace jaydoor::tests
