Settings: secrets that no HTTP header can hold are refused

A secret is the whole file but for one line feed at its end. With CR LF at the end or a second line it went into the header Authorization as it is, which ended the header early: each call of jaydoorctl or of an upstream got 400, or 401 from a client that leaves the CR out, without a hint at the file. Now jaydoord does not start and names the flag. jaydoorctl still takes such a file. Tabs and blanks inside are accepted as before.

--- a/daemon/Settings.cpp
+++ b/daemon/Settings.cpp
@@ -198,6 +198,24 @@
   return lines;
 }
 
+// Returns true if the text can be sent as the value of an HTTP header: it has
+// no line end or other control character, and no blank at its ends.
+bool
+IsHeaderValue(std::string_view aText)
+{
+  constexpr std::string_view kBlanks = " \t";
+  constexpr char kDelete = 0x7f;
+  const auto isBlank = [&](char aChar) {
+    return kBlanks.find(aChar) != std::string_view::npos;
+  };
+  return aText.empty() ||
+         (!isBlank(aText.front()) && !isBlank(aText.back()) &&
+          std::all_of(aText.begin(), aText.end(), [&](char aChar) {
+            return isBlank(aChar) || (static_cast<unsigned char>(aChar) > ' ' &&
+                                      aChar != kDelete);
+          }));
+}
+
 void
 ReadSecrets(FlagValues& aValues, Settings& aSettings)
 {
@@ -214,11 +232,18 @@
                           "a file with keys of 16 bytes or more, one a line");
   }
   aSettings.operatorSecret_ = aValues.File("operator-secret-file");
-  if (isTooShort(aSettings.operatorSecret_)) {
+  if (isTooShort(aSettings.operatorSecret_) ||
+      !IsHeaderValue(aSettings.operatorSecret_)) {
     aValues.RecordInvalid("operator-secret-file",
-                          "a file with a secret of 16 bytes or more");
+                          "a file with a secret of 16 bytes or more, in one "
+                          "line that ends with LF or not at all");
   }
   aSettings.announceSecret_ = aValues.File("announce-secret-file");
+  if (!IsHeaderValue(aSettings.announceSecret_)) {
+    aValues.RecordInvalid("announce-secret-file",
+                          "a file with a secret in one line that ends with LF "
+                          "or not at all");
+  }
   const auto keys = SplitLines(aValues.File("link-key-file"));
   const std::string& plain = aValues.Text("plain-links");
   if (plain != "on" && plain != "off") {
--- a/tests/input_test.cpp
+++ b/tests/input_test.cpp
@@ -239,6 +239,48 @@
   CHECK(settings.error().kind_ == ErrorKind::BadSetting);
 }
 
+TEST_CASE("A secret that no HTTP header can hold is refused as a bad setting")
+{
+  const auto path =
+    (std::filesystem::temp_directory_path() /
+     ("jaydoor-secret-" + std::to_string(std::random_device{}())))
+      .string();
+  const auto getError = [&path](const char* aFlag, std::string_view aSecret) {
+    std::ofstream(path, std::ios::binary) << aSecret;
+    const std::string keys = path + "-keys";
+    std::ofstream(keys, std::ios::binary) << "0123456789abcdef\n";
+    std::vector<const char*> arguments = { "jaydoord",   "--vm",
+                                           "a",          "--zone",
+                                           "z",          "--session-key-file",
+                                           keys.c_str(), "--plain-links",
+                                           "on",         "--voters",
+                                           "b",          aFlag,
+                                           path.c_str() };
+    if (aFlag != std::string_view("--operator-secret-file")) {
+      arguments.insert(arguments.end(),
+                       { "--operator-secret-file", keys.c_str() });
+    }
+    const auto settings =
+      ReadSettings(static_cast<int>(arguments.size()), arguments.data());
+    std::filesystem::remove(path);
+    std::filesystem::remove(keys);
+    return settings ? "" : settings.error().message_;
+  };
+  for (const char* flag :
+       { "--operator-secret-file", "--announce-secret-file" }) {
+    INFO(flag);
+    CHECK(getError(flag, "a secret of enough bytes").empty());
+    CHECK(getError(flag, "a secret\twith a tab inside\n").empty());
+    for (const std::string_view secret :
+         { "a secret of enough bytes\r\n",
+           "a secret of one\nand another line\n",
+           "a secret of enough bytes \n",
+           "a secret with\x01 inside it" }) {
+      CHECK(getError(flag, secret).find(std::string(flag) + " is '") == 0);
+    }
+  }
+}
+
 TEST_CASE("The catalogue of log events lists exactly the events of the code")
 {
   const std::string catalogue =
