--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -65,6 +65,13 @@
     CHECK(deployment.ReplaceConfig(2, "{\"version\":4,\"routes\":[") == 400);
     CHECK(deployment.ReplaceConfig(2, LineDeployment::MakeConfig(2)) ==
           200); // older version
+    // The name can't be told to a server.
+    const auto unspeakable =
+      LineDeployment::MakeOrganisations({ { "a b", { "key" } } });
+    CHECK(deployment.ReplaceConfig(
+            2, LineDeployment::MakeConfig(4, unspeakable)) == 400);
+    CHECK(deployment.ReplaceConfig(
+            1, LineDeployment::MakeConfig(2, unspeakable)) == 200);
     REQUIRE(Await([&] {
       return deployment.ReplaceConfig(3, LineDeployment::MakeConfig(7)) == 200;
     }));
