Datagrams that are too large are dropped, not cut

The receive buffer had the size of the largest datagram that a VM sends, so that a larger one was cut there and read as a message: a protocol buffer that is cut between two fields is valid, and lacks the rest. Now the buffer has room for one byte more, and what fills it is dropped.

--- a/daemon/DatagramSocket.cpp
+++ b/daemon/DatagramSocket.cpp
@@ -90,7 +90,9 @@
         if (error) {
           break; // none is left, or a peer's port was closed
         }
-        messageCallback_({ receiveBuffer_.data(), bytes });
+        if (bytes <= kMaxBytes) {
+          messageCallback_({ receiveBuffer_.data(), bytes });
+        }
       }
       Receive();
     });
--- a/daemon/DatagramSocket.h
+++ b/daemon/DatagramSocket.h
@@ -50,7 +50,8 @@
   Udp::socket socket_;
   std::function<void(std::string_view)> messageCallback_;
   std::map<VmId, Udp::endpoint> peers_;
-  std::array<char, kMaxBytes> receiveBuffer_{};
+  // Has room for one byte too many, which shows that a datagram was cut.
+  std::array<char, kMaxBytes + 1> receiveBuffer_{};
 };
 
 } // namespace jaydoor
--- a/tests/datagram_test.cpp
+++ b/tests/datagram_test.cpp
@@ -39,6 +39,19 @@
     CHECK(received.empty());
   }
 
+  SECTION("a datagram that is too large is dropped, not cut")
+  {
+    using Udp = boost::asio::ip::udp;
+    Udp::socket other(context, Udp::v4());
+    const std::string tooLarge(DatagramSocket::kMaxBytes + 1, 'x');
+    other.send_to(
+      boost::asio::buffer(tooLarge),
+      Udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), *port));
+    CHECK(sender.Send("vm-b", "hello"));
+    context.run_for(200ms);
+    CHECK(received == std::vector<std::string>{ "hello" });
+  }
+
   SECTION("a VM without an IP address gets no datagrams")
   {
     CHECK_FALSE(sender.Send("vm-c", "hello"));
