Settings file: names with control characters are refused

nodeName is sent as X-Jaydoor-Duty-Holder with each promotion. With a line end in it the rest became a header of its own, such as another fencing token.

--- a/tests/framing_test.cpp
+++ b/tests/framing_test.cpp
@@ -7,11 +7,14 @@
 #include "platform/ConfigBody.h"
 #include "platform/HeartbeatBody.h"
 #include "platform/LineCodec.h"
+#include "platform/NodeFile.h"
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <deque>
+#include <filesystem>
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <string>
@@ -358,7 +361,7 @@
     const std::string body = "\r\n\r\nPOST /x HTTP/1.1\r\n\r\n";
     const auto head = fmt::format(
       "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", body.size());
-    CHECK(send(head) == "");
+    CHECK(send(head).empty());
     CHECK(send(body) == "HTTP/1.1 200");
     CHECK(served == std::vector<std::string>{ "/a " + body });
   }
@@ -430,6 +433,26 @@
     CHECK(WriteOpen(std::string(1000, ' ')).size() < 300);
   }
 
+  SECTION("the name of a VM fits the header that is sent with a promotion")
+  {
+    const auto path = (std::filesystem::temp_directory_path() /
+                       fmt::format("jaydoor-name-{}", getpid()))
+                        .string();
+    const auto accepts = [&path](std::string_view aName) {
+      std::ofstream(path) << fmt::format(
+        "nodeName: \"{}\"\nzone: z\nip: 10.1.0.10\n"
+        "internalPortRange: [7440, 7460]\n",
+        aName);
+      const bool accepted = platform::ReadNodeFile(path).has_value();
+      std::filesystem::remove(path);
+      return accepted;
+    };
+    CHECK(accepts("entry 1"));
+    CHECK_FALSE(accepts(R"(a\r\nX-Jaydoor-Fencing-Token: 9)"));
+    CHECK_FALSE(accepts(R"(a\nb)"));
+    CHECK_FALSE(accepts(R"(a\x01)"));
+  }
+
   SECTION("a heartbeat with such a name names no server")
   {
     for (const auto name : kUnspeakableNames) {
