--- a/tests/framing_test.cpp
+++ b/tests/framing_test.cpp
@@ -26,8 +26,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
@@ -55,11 +53,10 @@
 {
 public:
   ScriptedServer(asio::io_context& aContext, std::deque<std::string> aTexts)
-    : context_(aContext)
-    , acceptor_(aContext, Tcp::endpoint(asio::ip::make_address(kHost), 0))
+    : acceptor_(aContext, Tcp::endpoint(asio::ip::make_address(kHost), 0))
     , texts_(std::move(aTexts))
   {
-    asio::co_spawn(context_, Accept(), asio::detached);
+    Accept();
   }
 
   std::uint16_t Port() const { return acceptor_.local_endpoint().port(); }
@@ -75,43 +72,42 @@
   void CloseNewest() { newest_->close(); }
 
 private:
-  asio::awaitable<void> Accept()
+  using SocketPtr = std::shared_ptr<Tcp::socket>;
+
+  void Accept()
   {
-    while (true) {
-      Tcp::socket socket = co_await acceptor_.async_accept(asio::use_awaitable);
-      connections_++;
-      newest_ = std::make_shared<Tcp::socket>(std::move(socket));
-      asio::co_spawn(context_, Serve(newest_), asio::detached);
-    }
+    acceptor_.async_accept(
+      [this](boost::system::error_code aError, Tcp::socket aSocket) {
+        if (!aError) {
+          connections_++;
+          newest_ = std::make_shared<Tcp::socket>(std::move(aSocket));
+          Serve(newest_, std::make_shared<std::string>());
+          Accept();
+        }
+      });
   }
 
-  asio::awaitable<void> Serve(std::shared_ptr<Tcp::socket> aSocket)
+  void Serve(const SocketPtr& aSocket,
+             const std::shared_ptr<std::string>& aReceived)
   {
-    std::string received;
-    boost::system::error_code error;
-    while (!texts_.empty()) {
-      const std::size_t size = co_await asio::async_read_until(
-        *aSocket,
-        asio::dynamic_buffer(received),
-        "\r\n\r\n",
-        asio::redirect_error(asio::use_awaitable, error));
-      if (error || texts_.empty()) {
-        co_return;
-      }
-      received.erase(0, size);
-      const std::string text = std::move(texts_.front());
-      texts_.pop_front();
-      co_await asio::async_write(
-        *aSocket,
-        asio::buffer(text),
-        asio::redirect_error(asio::use_awaitable, error));
-    }
+    asio::async_read_until(
+      *aSocket,
+      asio::dynamic_buffer(*aReceived),
+      "\r\n\r\n",
+      [this, socket = aSocket, received = aReceived](
+        boost::system::error_code aError, std::size_t aSize) {
+        if (!aError && !texts_.empty()) {
+          received->erase(0, aSize);
+          asio::write(*socket, asio::buffer(texts_.front()));
+          texts_.pop_front();
+          Serve(socket, received);
+        }
+      });
   }
 
-  asio::io_context& context_;
   Tcp::acceptor acceptor_;
   std::deque<std::string> texts_;
-  std::shared_ptr<Tcp::socket> newest_;
+  SocketPtr newest_;
   int connections_ = 0;
 };
 
