--- a/gateway/AnswerMatcher.cpp
+++ b/gateway/AnswerMatcher.cpp
@@ -9,13 +9,14 @@
 namespace {
 
 // Returns a digest of what no other answer on the connection has: the
-// signature, or the error with the position of the log.
+// signature, or the error with the state and the position of the log.
 std::uint64_t
 MakeDigest(const ServerAnswer& aAnswer)
 {
   const std::string text = aAnswer.error_
-                             ? fmt::format("{} {}.{} {}",
+                             ? fmt::format("{} {} {}.{} {}",
                                            static_cast<int>(*aAnswer.error_),
+                                           static_cast<int>(aAnswer.state_),
                                            aAnswer.point_.term_,
                                            aAnswer.point_.position_,
                                            aAnswer.errorText_)
@@ -117,8 +118,9 @@
   // A failed transaction accepts no probe. Of the gateway's commands, only
   // those that begin a transaction fail.
   if (RunsStatement(oldest.kind_)) {
-    return aAnswer.state_ == state_ ? AnswerVerdict::Ambiguous
-                                    : AnswerVerdict::Unexpected;
+    const bool canProbe =
+      state_ != TransactionState::Failed && aAnswer.state_ == state_;
+    return canProbe ? AnswerVerdict::Ambiguous : AnswerVerdict::Unexpected;
   }
   return StateAfter(oldest) == TransactionState::Open &&
              state_ == TransactionState::Idle
