Gateway: answers have a file of their own; answers that prove nothing are counted apart

What an answer means is now in GatewayAnswers.cpp, the names of errors in SessionTypes.cpp, and closing a link whose state is unknown in one function.

--- a/daemon/GatewayMetrics.cpp
+++ b/daemon/GatewayMetrics.cpp
@@ -138,6 +138,7 @@
   for (const auto& [verdict, count] :
        { std::pair{ AnswerVerdict::Repeated, counters.answersRepeated_ },
          std::pair{ AnswerVerdict::Ambiguous, counters.answersAmbiguous_ },
+         std::pair{ AnswerVerdict::Unproven, counters.answersUnproven_ },
          std::pair{ AnswerVerdict::Unexpected,
                     counters.answersUnexpected_ } }) {
     AppendMetric(text,
--- a/gateway/AnswerMatcher.cpp
+++ b/gateway/AnswerMatcher.cpp
@@ -46,6 +46,8 @@
       return "confirmed";
     case AnswerVerdict::Undecided:
       return "undecided";
+    case AnswerVerdict::Unproven:
+      return "unproven";
     case AnswerVerdict::Unexpected:
       return "unexpected";
   }
@@ -120,11 +122,11 @@
   if (RunsStatement(oldest.kind_)) {
     const bool canProbe =
       state_ != TransactionState::Failed && aAnswer.state_ == state_;
-    return canProbe ? AnswerVerdict::Ambiguous : AnswerVerdict::Unexpected;
+    return canProbe ? AnswerVerdict::Ambiguous : AnswerVerdict::Unproven;
   }
   return StateAfter(oldest) == TransactionState::Open &&
              state_ == TransactionState::Idle
-           ? AnswerVerdict::Unexpected
+           ? AnswerVerdict::Unproven
            : AnswerVerdict::Repeated;
 }
 
@@ -145,7 +147,7 @@
   }
   return isInStep_ && undecidedAnswers_ + 1 < kMaxProbes
            ? AnswerVerdict::Undecided
-           : AnswerVerdict::Unexpected;
+           : AnswerVerdict::Unproven;
 }
 
 AnswerVerdict
@@ -175,7 +177,7 @@
   }
   // If the begin has failed, a write after it would be committed at once.
   return oldest.kind_ == CommandKind::Begin && !IsNew(aAnswer)
-           ? AnswerVerdict::Unexpected
+           ? AnswerVerdict::Unproven
            : AnswerVerdict::Matches;
 }
 
--- a/gateway/AnswerMatcher.h
+++ b/gateway/AnswerMatcher.h
@@ -55,8 +55,10 @@
   Confirmed,
   // Answers a probe or repeats an earlier answer: another probe may tell.
   Undecided,
-  // Belongs to no known command, or can't be told: the connection has to be
-  // closed.
+  // May be the answer to the oldest command, or an earlier one once more, and
+  // no probe can tell. The connection has to be closed.
+  Unproven,
+  // Belongs to no known command. The connection has to be closed.
   Unexpected,
 };
 
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -271,6 +271,7 @@
   // Answers that do not belong to the oldest command of their link, by verdict.
   std::uint64_t answersRepeated_ = 0;
   std::uint64_t answersAmbiguous_ = 0;
+  std::uint64_t answersUnproven_ = 0;
   std::uint64_t answersUnexpected_ = 0;
   // Statements sent to a primary, writes included, and to replicas. Of a
   // transaction, only its first statement counts.
@@ -598,6 +599,8 @@
                         const ServerAnswer& aAnswer,
                         Time aNow,
                         GatewayActions& aOut);
+  static void PauseServer(Server& aServer, Time aNow);
+  void DropLink(ServerLinkId aLink, Time aNow, GatewayActions& aOut);
   void SendProbe(ServerLinkId aLink, Time aNow, GatewayActions& aOut);
   void ReportUnmatched(ServerLinkId,
                        const ServerAnswer&,
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -1,10 +1,9 @@
-// Handles links that open or are lost, answers of servers, and the end of
-// statements: completion, retry or failure.
+// Handles links that open or are lost, and statements that end without success:
+// they are sent again, or their callers are told the error.
 //
 // Sections:
 //   1. Connections
-//   2. Answers
-//   3. The end of a statement
+//   2. The end of a statement
 
 #include "gateway/Gateway.h"
 
@@ -19,14 +18,6 @@
 // Time without new statements after a server refused one for lack of capacity,
 // or refused to begin a transaction because it was not the primary.
 constexpr Duration kServerFullDelay = 15ms;
-// Delay before a statement that was refused inside a transaction is sent to the
-// same server again: it can't run on another one.
-constexpr Duration kResendDelay = 15ms;
-// Delay before a probe is sent after an error that may be a repetition. By then
-// the server's log is likely to have grown, which makes the probe's answer one
-// that can't be a repetition. A statement that was refused waits as long
-// anyway.
-constexpr Duration kProbeDelay = kResendDelay;
 // Time without new connections after the first failed one. It doubles with each
 // further failure, up to the maximum.
 constexpr Duration kMinReconnectDelay = 50ms;
@@ -36,51 +27,6 @@
 constexpr Duration kConnectionLimitDelay = 60ms;
 constexpr int kMaxAttempts = 6; // of one statement
 
-// Returns the error's name in log lines.
-std::string_view
-GetErrorName(SessionError aError)
-{
-  switch (aError) {
-    case SessionError::Overloaded:
-      return "overloaded";
-    case SessionError::Aborted:
-      return "aborted";
-    case SessionError::Behind:
-      return "behind";
-    case SessionError::ReadOnly:
-      return "read_only";
-    case SessionError::WrongServer:
-      return "wrong_server";
-    case SessionError::ConnectionLimit:
-      return "connection_limit";
-    case SessionError::InDoubt:
-      return "in_doubt";
-    case SessionError::TimedOut:
-      return "timed_out";
-    case SessionError::Failed:
-      return "failed";
-    case SessionError::NoStatement:
-      return "no_statement";
-    case SessionError::NoDatabase:
-      return "no_database";
-    case SessionError::UnknownKey:
-      return "unknown_key";
-    default:
-      return "other";
-  }
-}
-
-// Returns true if the error proves that the statement has not run.
-bool
-IsNotRun(SessionError aError)
-{
-  return aError == SessionError::Overloaded || aError == SessionError::Behind ||
-         aError == SessionError::ReadOnly ||
-         aError == SessionError::NoStatement ||
-         aError == SessionError::WrongServer ||
-         aError == SessionError::ConnectionLimit;
-}
-
 } // namespace
 
 // ---- 1. Connections
@@ -192,6 +138,13 @@
   server.blockedUntil_ = aNow + std::min(delay, kMaxReconnectDelay);
 }
 
+// Sends no new statement to a server for a moment: it refused one.
+void
+Gateway::PauseServer(Server& aServer, Time aNow)
+{
+  aServer.fullUntil_ = aNow + kServerFullDelay;
+}
+
 // Removes a link that has ended. Its statement is retried if it is safe to run
 // again, and otherwise answered with an error.
 void
@@ -247,6 +200,15 @@
   aOut.push_back(CloseServerLink{ aLink });
 }
 
+// Closes a link of which it isn't known what its commands have done, as if it
+// had been lost.
+void
+Gateway::DropLink(ServerLinkId aLink, Time aNow, GatewayActions& aOut)
+{
+  CloseLink(aLink, aOut);
+  RemoveLink(aLink, aNow, aOut);
+}
+
 // Closes a link on which nothing runs.
 void
 Gateway::CloseIdleLink(Server& aServer,
@@ -301,343 +263,7 @@
   }
 }
 
-// ---- 2. Answers
-
-// Records the log point of an answer. A point of the primary counts only if
-// this VM held the lease on it when the command was sent.
-void
-Gateway::RecordPoint(const Link& aLink, LogPoint aPoint, Time aNow)
-{
-  if (aPoint == LogPoint{}) {
-    return;
-  }
-  const DatabaseId& name = servers_.at(aLink.server_).info_.database();
-  Group& group = groups_.at(name);
-  if (aLink.server_ != group.primary_) {
-    group.log_.RecordReplicaPoint(aLink.server_, aNow, aPoint);
-  } else if (aLink.sentLeaseTerm_ != 0 && aLink.sentLeaseTerm_ == group.term_) {
-    ReportPrimaryPoint(name, aLink.sentAt_, aPoint);
-    group.log_.RecordPrimaryPoint(aLink.sentAt_, aPoint);
-  }
-}
-
-void
-Gateway::Handle(ServerLinkAnswered& aEvent, Time aNow, GatewayActions& aOut)
-{
-  const auto found = links_.find(aEvent.link_);
-  if (found == links_.end()) {
-    return;
-  }
-  Link& link = found->second;
-  const AnswerVerdict verdict = link.answers_.Check(aEvent.answer_);
-  switch (verdict) {
-    case AnswerVerdict::Matches:
-    case AnswerVerdict::Confirmed:
-      break;
-    case AnswerVerdict::Repeated:
-      ReportUnmatched(aEvent.link_, aEvent.answer_, verdict, aOut);
-      link.answers_.Ignore(aEvent.answer_);
-      return;
-    case AnswerVerdict::Undecided:
-      link.answers_.Ignore(aEvent.answer_);
-      link.probeAt_ = aNow + kProbeDelay;
-      return;
-    case AnswerVerdict::Ambiguous:
-      counters_.answersAmbiguous_++;
-      HandleAmbiguousError(aEvent.link_, std::move(aEvent.answer_), aNow, aOut);
-      return;
-    case AnswerVerdict::Unexpected:
-      // What its commands have done is as unknown as if it had broken.
-      ReportUnmatched(aEvent.link_, aEvent.answer_, verdict, aOut);
-      CloseLink(aEvent.link_, aOut);
-      RemoveLink(aEvent.link_, aNow, aOut);
-      return;
-  }
-  link.probeAt_.reset();
-  link.heardAt_ = aNow;
-  Server& server = servers_.at(link.server_);
-  RecordContact(server, aNow, aOut);
-  if (!aEvent.answer_.signature_.empty()) {
-    // Any other answer may repeat an earlier one, with the point of that time.
-    RecordPoint(link, aEvent.answer_.point_, aNow);
-  }
-  CommandKind kind{};
-  if (verdict == AnswerVerdict::Confirmed) {
-    std::tie(kind, aEvent.answer_) = link.answers_.AcceptHeld(aEvent.answer_);
-  } else {
-    kind = link.answers_.Accept(aEvent.answer_);
-  }
-  if (kind != CommandKind::Forward && kind != CommandKind::Execute) {
-    HandleSetupAnswer(aEvent.link_, kind, aEvent.answer_, aNow, aOut);
-    return;
-  }
-  RecordResponse(server, link, aEvent.answer_.error_, aNow);
-  FreeSlot(link);
-  groupsToDispatch_.insert(server.info_.database());
-  const WorkId work = std::exchange(link.work_, 0);
-  const auto running = work_.find(work);
-  const bool isAwaited =
-    running != work_.end() && running->second.links_.contains(aEvent.link_);
-  if (isAwaited) {
-    FinishWork(work, aEvent.link_, std::move(aEvent.answer_), aNow, aOut);
-    return;
-  }
-  // The caller has been answered without this link, or its session has ended.
-  const auto session = sessions_.find(link.session_);
-  const bool ownsLink =
-    session != sessions_.end() && session->second.txLink_ == aEvent.link_;
-  if (!ownsLink) {
-    const bool isIdle = aEvent.answer_.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
-    ReleaseLink(aEvent.link_, aNow, aOut);
-  }
-}
-
-// Handles an error that may be the answer to the link's statement or to an
-// earlier one. A read runs again elsewhere, whether it has run here or not; any
-// other statement waits until it is known.
-void
-Gateway::HandleAmbiguousError(ServerLinkId aLink,
-                              ServerAnswer aError,
-                              Time aNow,
-                              GatewayActions& aOut)
-{
-  Link& link = links_.at(aLink);
-  link.probeAt_ = aNow + kProbeDelay;
-  link.answers_.Hold(aError);
-  const WorkId id = link.work_;
-  const auto work = work_.find(id);
-  const bool canRetry = work != work_.end() && work->second.repeatable_ &&
-                        work->second.session_ != 0 &&
-                        work->second.links_.contains(aLink);
-  if (!canRetry) {
-    return;
-  }
-  RecordResponse(servers_.at(link.server_), link, aError.error_, aNow);
-  FreeSlot(link);
-  link.work_ = 0;
-  link.session_ = 0;
-  work->second.links_.erase(aLink);
-  RetryRefusedWork(id, link.server_, link.minPointAt_, aError, aNow, aOut);
-}
-
-// Logs and counts an answer that does not belong to the link's oldest
-// unanswered command.
-void
-Gateway::ReportUnmatched(ServerLinkId aLink,
-                         const ServerAnswer& aAnswer,
-                         AnswerVerdict aVerdict,
-                         GatewayActions& aOut)
-{
-  const Link& link = links_.at(aLink);
-  (aVerdict == AnswerVerdict::Repeated ? counters_.answersRepeated_
-                                       : counters_.answersUnexpected_)++;
-  aOut.push_back(WriteLogEvent{
-    Event::AnswerUnmatched,
-    fmt::format("server={} link={} verdict={} unanswered={} signature={} "
-                "error={} rows={} point={}.{}",
-                link.server_,
-                aLink,
-                GetVerdictName(aVerdict),
-                link.answers_.CountUnanswered(),
-                aAnswer.signature_.empty() ? "-" : aAnswer.signature_,
-                aAnswer.error_ ? GetErrorName(*aAnswer.error_) : "-",
-                aAnswer.rows_.size(),
-                aAnswer.point_.term_,
-                aAnswer.point_.position_) });
-}
-
-// Handles the answer to a command other than the statement itself: setup of the
-// link, begin or rollback.
-void
-Gateway::HandleSetupAnswer(ServerLinkId aLink,
-                           CommandKind aKind,
-                           const ServerAnswer& aAnswer,
-                           Time aNow,
-                           GatewayActions& aOut)
-{
-  Link& link = links_.at(aLink);
-  if (link.state_ == LinkState::RollingBack) {
-    if (!link.answers_.IsIdle()) {
-      return;
-    }
-    if (aAnswer.state_ != TransactionState::Idle) {
-      SendCommand(aLink, ServerCommand(CommandKind::Rollback), aNow, aOut);
-      return;
-    }
-    ReleaseLink(aLink, aNow, aOut);
-    return;
-  }
-  if (!aAnswer.error_) {
-    SendNextCommand(aLink, aNow, aOut);
-    return;
-  }
-  // The setup failed, so the statement has not been sent.
-  const WorkId id = link.work_;
-  const auto work = work_.find(id);
-  const bool isBegin =
-    aKind == CommandKind::Begin || aKind == CommandKind::BeginReadOnly;
-  if (!isBegin || work == work_.end() || !link.answers_.IsIdle()) {
-    CloseLink(aLink, aOut);
-    RemoveLink(aLink, aNow, aOut);
-    return;
-  }
-  Server& server = servers_.at(link.server_);
-  FreeSlot(link);
-  link.work_ = 0;
-  link.hasNextCommand_ = false;
-  link.state_ = LinkState::Running;
-  if (*aAnswer.error_ == SessionError::Behind) {
-    counters_.serverBehind_++;
-    groups_.at(server.info_.database())
-      .log_.RecordReplicaBehind(link.server_, aNow, link.minPointAt_);
-  }
-  if (*aAnswer.error_ == SessionError::ReadOnly) {
-    server.fullUntil_ = aNow + kServerFullDelay;
-  }
-  const ServerId serverId = link.server_;
-  ReleaseLink(aLink, aNow, aOut);
-  work->second.links_.erase(aLink);
-  if (*aAnswer.error_ == SessionError::Behind) {
-    work->second.excludedServers_.insert(serverId);
-  }
-  RetryOrFailWork(id, *aAnswer.error_, aAnswer.errorText_, aNow, aOut);
-}
-
-// Handles the answer to the statement: replies to the caller, or sends the
-// statement again if the error allows it.
-void
-Gateway::FinishWork(WorkId aId,
-                    ServerLinkId aLink,
-                    ServerAnswer aAnswer,
-                    Time aNow,
-                    GatewayActions& aOut)
-{
-  Work& work = work_.at(aId);
-  Link& link = links_.at(aLink);
-  const ServerId serverId = link.server_;
-  const auto found = sessions_.find(work.session_);
-  if (found == sessions_.end()) {
-    const bool isIdle = aAnswer.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
-    ReleaseLink(aLink, aNow, aOut);
-    DropWork(aId);
-    return;
-  }
-  Session& session = found->second;
-  const bool inTransaction = session.txState_ != TxState::None;
-  const bool isCommit = work.statement_.kind_ == StatementKind::Commit;
-  if (inTransaction && aAnswer.error_ == SessionError::Overloaded) {
-    counters_.serverBusy_++;
-    servers_.at(serverId).fullUntil_ = aNow + kServerFullDelay;
-  }
-  if (inTransaction && work.beginsTx_) {
-    session.txLink_ = aLink;
-    session.txState_ = TxState::Open;
-    work.beginsTx_ = false;
-  }
-  const bool resend = inTransaction &&
-                      aAnswer.error_ == SessionError::Overloaded &&
-                      aAnswer.state_ == TransactionState::Open &&
-                      !session.ending_ && aNow + kResendDelay < work.deadline_;
-  if (resend) {
-    work.links_.erase(aLink);
-    work.resendAt_ = aNow + kResendDelay;
-    return;
-  }
-  if (!inTransaction && aAnswer.error_) {
-    const Time minPointAt = link.minPointAt_;
-    const bool isIdle = aAnswer.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
-    if (*aAnswer.error_ == SessionError::NoStatement) {
-      link.prepared_.clear();
-    }
-    ReleaseLink(aLink, aNow, aOut);
-    work.links_.erase(aLink);
-    RetryRefusedWork(aId, serverId, minPointAt, aAnswer, aNow, aOut);
-    return;
-  }
-  // A write is acknowledged only under a valid lease: without it, another
-  // server may already be the primary, and the outcome is in doubt.
-  const bool leased =
-    work.leaseTerm_ == 0 ||
-    HoldsLease(groups_.at(work.route_.group_), work.leaseTerm_, aNow);
-  SessionReply reply;
-  reply.rows_ = std::move(aAnswer.rows_);
-  reply.error_ = aAnswer.error_;
-  reply.errorText_ = std::move(aAnswer.errorText_);
-  reply.signature_ = std::move(aAnswer.signature_);
-  if (!reply.error_ && work.commitsData_) {
-    session.lastCommit_ = std::max(session.lastCommit_, aAnswer.point_);
-    session.lastCommitAt_ = aNow;
-  }
-  const bool inDoubt = !reply.error_ && work.commitsData_ && !leased;
-  if (isCommit) {
-    session.txState_ = TxState::None;
-    session.txLink_ = 0;
-    session.txLeaseTerm_ = 0;
-  } else if (inTransaction && aAnswer.state_ != TransactionState::Open) {
-    session.txState_ = TxState::Failed;
-  }
-  if (isCommit || !inTransaction) {
-    const bool isIdle = aAnswer.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
-    ReleaseLink(aLink, aNow, aOut);
-  }
-  work.links_.erase(aLink);
-  if (inDoubt) {
-    FailWork(aId, SessionError::InDoubt, "primary lease lost", aNow, aOut);
-    return;
-  }
-  const SessionId sessionId = work.session_;
-  if (work.queued_) {
-    Dequeue(aId); // was queued for a second server
-  }
-  session.work_ = 0;
-  session.txIdleSince_ = aNow;
-  samples_.push_back({ work.route_.rank_,
-                       reply.error_,
-                       aNow - work.arrivedAt_,
-                       work.firstSentAt_ - work.arrivedAt_ });
-  if (reply.error_) {
-    counters_.refused_++;
-    aOut.push_back(WriteLogEvent{
-      Event::StatementRefused,
-      fmt::format("id={} session={} database={} by=server server={} error={} "
-                  "total_ms={}",
-                  work.statement_.id_,
-                  sessionId,
-                  work.route_.name_,
-                  serverId,
-                  GetErrorName(*reply.error_),
-                  CountMs(aNow - work.arrivedAt_)) });
-  } else {
-    counters_.done_++;
-    aOut.push_back(WriteLogEvent{
-      Event::StatementDone,
-      fmt::format("id={} session={} server={} link={} signature={} "
-                  "point={}.{} term={} attempts={} queued_ms={} total_ms={}",
-                  work.statement_.id_,
-                  sessionId,
-                  serverId,
-                  aLink,
-                  reply.signature_,
-                  aAnswer.point_.term_,
-                  aAnswer.point_.position_,
-                  work.leaseTerm_,
-                  work.attempts_,
-                  CountMs(work.firstSentAt_ - work.arrivedAt_),
-                  CountMs(aNow - work.arrivedAt_)) });
-  }
-  work_.erase(aId);
-  Reply(sessionId, std::move(reply), aOut);
-  if (HasForeignTransaction(session)) {
-    AbortTransaction(sessionId, "change of organisation", aNow, aOut);
-  }
-  RunPipelined(sessionId, aNow, aOut);
-}
-
-// ---- 3. The end of a statement
+// ---- 2. The end of a statement
 
 // Handles the error of a statement outside a transaction, which no longer runs
 // on the server.
@@ -653,7 +279,7 @@
   const SessionError error = *aAnswer.error_;
   if (error == SessionError::Overloaded) {
     counters_.serverBusy_++;
-    servers_.at(aServer).fullUntil_ = aNow + kServerFullDelay;
+    PauseServer(servers_.at(aServer), aNow);
   }
   if (error == SessionError::Behind) {
     counters_.serverBehind_++;
@@ -785,8 +411,7 @@
       if (links_.at(link).answers_.IsIdle()) {
         ReleaseLink(link, aNow, aOut);
       } else {
-        CloseLink(link, aOut);
-        RemoveLink(link, aNow, aOut);
+        DropLink(link, aNow, aOut);
       }
     }
   }
--- a/gateway/GatewayTick.cpp
+++ b/gateway/GatewayTick.cpp
@@ -569,8 +569,7 @@
       RecordFailure(server, aNow, "no answer to a new connection", aOut);
     }
     CloseIdleLinks(server, link->second.sentAt_, aOut);
-    CloseLink(id, aOut);
-    RemoveLink(id, aNow, aOut);
+    DropLink(id, aNow, aOut);
   }
   for (const ServerLinkId id : expiredLinks) {
     const auto link = links_.find(id);
--- a/gateway/SessionTypes.h
+++ b/gateway/SessionTypes.h
@@ -12,6 +12,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jaydoor {
@@ -69,6 +70,14 @@
   Other,           // an error code of the server that is not known here
 };
 
+// Returns the error's name in log lines.
+std::string_view
+GetErrorName(SessionError aError);
+
+// Returns true if the error proves that the statement has not run.
+bool
+IsNotRun(SessionError aError);
+
 enum class TransactionState : std::uint8_t
 {
   Idle,
