Gateway: findings of the review on answers that come twice

- PINNED: the second answer to an earlier BEGIN READ was taken for the new one's; had that been refused, the read ran outside its transaction and below the required log point.
Begins of both kinds now need a new answer.
The model test had accepted this, as the error was noticed afterwards: by then the read had been sent.
It now requires that the begin's answer is not taken, and lets begins fail (1 in 10).
- TWICE: a held BUSY was confirmed although another known error, the write's own, had come after it, and the write was sent again.
Another error than the one that is held closes the link; the write is in doubt.
- MIXED: only 256 answers were remembered.
A link is now replaced when it has had 2,048, so that none is forgotten.
- A begin refused twice at the same log point closed the link without recording the refusal, so that the next one went to the same server; and a begin that could not be told from an earlier one counted as an attempt of its statement.
- Errors of a begin that do not promise that it has not run close the link.

--- a/gateway/AnswerMatcher.cpp
+++ b/gateway/AnswerMatcher.cpp
@@ -24,6 +24,12 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+bool
+Begins(CommandKind aKind)
+{
+  return aKind == CommandKind::Begin || aKind == CommandKind::BeginReadOnly;
+}
+
 std::size_t
 GetIndex(TransactionState aState)
 {
@@ -115,7 +121,9 @@
     return fits ? AnswerVerdict::Matches : AnswerVerdict::Unexpected;
   }
   if (held_) {
-    return AnswerVerdict::Repeated;
+    // Another one than that may be the statement's own.
+    return MakeDigest(aAnswer) == MakeDigest(*held_) ? AnswerVerdict::Repeated
+                                                     : AnswerVerdict::Unproven;
   }
   // A failed transaction accepts no probe. Of the gateway's commands, only
   // those that begin a transaction fail.
@@ -124,10 +132,8 @@
       state_ != TransactionState::Failed && aAnswer.state_ == state_;
     return canProbe ? AnswerVerdict::Ambiguous : AnswerVerdict::Unproven;
   }
-  return StateAfter(oldest) == TransactionState::Open &&
-             state_ == TransactionState::Idle
-           ? AnswerVerdict::Unproven
-           : AnswerVerdict::Repeated;
+  return Begins(oldest.kind_) ? AnswerVerdict::Unproven
+                              : AnswerVerdict::Repeated;
 }
 
 // Returns true if the answer can't be that to the oldest command, but can be
@@ -175,10 +181,9 @@
   if (!fits) {
     return isSigned ? AnswerVerdict::Unexpected : AnswerVerdict::Repeated;
   }
-  // If the begin has failed, a write after it would be committed at once.
-  return oldest.kind_ == CommandKind::Begin && !IsNew(aAnswer)
-           ? AnswerVerdict::Unproven
-           : AnswerVerdict::Matches;
+  // If the begin has failed, a statement after it would run on its own.
+  return Begins(oldest.kind_) && !IsNew(aAnswer) ? AnswerVerdict::Unproven
+                                                 : AnswerVerdict::Matches;
 }
 
 CommandKind
@@ -195,13 +200,7 @@
     return kind;
   }
   isInStep_ = isInStep_ || !aAnswer.error_;
-  const std::uint64_t digest = MakeDigest(aAnswer);
-  if (knownAnswers_.size() < kMaxKnownAnswers) {
-    knownAnswers_.push_back(digest);
-  } else {
-    knownAnswers_[nextKnownAnswer_] = digest;
-    nextKnownAnswer_ = (nextKnownAnswer_ + 1) % kMaxKnownAnswers;
-  }
+  knownAnswers_.push_back(MakeDigest(aAnswer));
   return kind;
 }
 
--- a/gateway/AnswerMatcher.h
+++ b/gateway/AnswerMatcher.h
@@ -77,6 +77,9 @@
   // Returns how many commands have no answer.
   std::size_t CountUnanswered() const { return expected_.size(); }
   bool IsIdle() const { return expected_.empty(); }
+  // Returns true if no more answers should be remembered: the connection has to
+  // be replaced, so that a repetition is recognised however late it comes.
+  bool IsFull() const { return knownAnswers_.size() >= kMaxKnownAnswers; }
 
   AnswerVerdict Check(const ServerAnswer& aAnswer) const;
   // Records the answer to the oldest unanswered command and returns that
@@ -91,9 +94,8 @@
   std::pair<CommandKind, ServerAnswer> AcceptHeld(const ServerAnswer& aProbe);
 
 private:
-  // Answers that are remembered, so that their repetition is recognised: those
-  // of two seconds, for statements of 8 ms.
-  static constexpr std::size_t kMaxKnownAnswers = 256;
+  // Signatures and errors that are remembered. 16 KB a connection.
+  static constexpr std::size_t kMaxKnownAnswers = 2048;
   // Probes for one error after which the connection is given up: in their time,
   // four times 15 ms, a server that is busy with writes has committed some.
   static constexpr std::size_t kMaxProbes = 4;
@@ -109,7 +111,6 @@
   std::deque<ExpectedAnswer> expected_; // of unanswered commands, oldest first
   TransactionState state_ = TransactionState::Idle; // after the last answer
   std::vector<std::uint64_t> knownAnswers_; // digests of signatures and errors
-  std::size_t nextKnownAnswer_ = 0; // overwritten next, once there are enough
   // Highest log point of the answers without a signature, by the state of the
   // transaction.
   std::array<std::optional<LogPoint>, 3> unsignedPoints_;
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -589,6 +589,11 @@
   void Handle(ServerLinkOpened& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(ServerLinkLost& aEvent, Time aNow, GatewayActions& aOut);
   void Handle(ServerLinkAnswered& aEvent, Time aNow, GatewayActions& aOut);
+  void DropUnprovenLink(ServerLinkId aLink,
+                        const ServerAnswer& aAnswer,
+                        Time aNow,
+                        GatewayActions& aOut);
+  void RecordRefusedBegin(const Link& aLink, SessionError aError, Time aNow);
   void HandleAmbiguousError(ServerLinkId aLink,
                             ServerAnswer aError,
                             Time aNow,
--- a/gateway/GatewayAnswers.cpp
+++ b/gateway/GatewayAnswers.cpp
@@ -68,7 +68,7 @@
       return;
     case AnswerVerdict::Unproven:
       counters_.answersUnproven_++;
-      DropLink(aEvent.link_, aNow, aOut);
+      DropUnprovenLink(aEvent.link_, aEvent.answer_, aNow, aOut);
       return;
     case AnswerVerdict::Unexpected:
       ReportUnmatched(aEvent.link_, aEvent.answer_, verdict, aOut);
@@ -115,6 +115,43 @@
   }
 }
 
+// Closes a link on an answer that may belong to the oldest command or to an
+// earlier one. If that command begins a transaction, its statement has not been
+// sent: that does not count as an attempt, and a refusal is taken for one.
+void
+Gateway::DropUnprovenLink(ServerLinkId aLink,
+                          const ServerAnswer& aAnswer,
+                          Time aNow,
+                          GatewayActions& aOut)
+{
+  const Link& link = links_.at(aLink);
+  const auto work = work_.find(link.work_);
+  if (work != work_.end() && link.hasNextCommand_) {
+    work->second.attempts_ -= aAnswer.error_ ? 0 : 1;
+    if (aAnswer.error_) {
+      RecordRefusedBegin(link, *aAnswer.error_, aNow);
+    }
+  }
+  DropLink(aLink, aNow, aOut);
+}
+
+// Records that the link's server has refused to begin the transaction of the
+// link's statement.
+void
+Gateway::RecordRefusedBegin(const Link& aLink, SessionError aError, Time aNow)
+{
+  Server& server = servers_.at(aLink.server_);
+  if (aError == SessionError::Behind) {
+    counters_.serverBehind_++;
+    groups_.at(server.info_.database())
+      .log_.RecordReplicaBehind(aLink.server_, aNow, aLink.minPointAt_);
+    work_.at(aLink.work_).excludedServers_.insert(aLink.server_);
+  }
+  if (aError == SessionError::ReadOnly) {
+    PauseServer(server, aNow);
+  }
+}
+
 // Handles an error that may be the answer to the link's statement or to an
 // earlier one. A read runs again elsewhere, whether it has run here or not; any
 // other statement waits until it is known.
@@ -179,7 +216,13 @@
                            GatewayActions& aOut)
 {
   Link& link = links_.at(aLink);
+  const WorkId id = link.work_;
+  const auto work = work_.find(id);
   if (link.state_ == LinkState::RollingBack) {
+    if (aAnswer.error_) {
+      DropLink(aLink, aNow, aOut);
+      return;
+    }
     if (!link.answers_.IsIdle()) {
       return;
     }
@@ -195,33 +238,20 @@
     return;
   }
   // The setup failed, so the statement has not been sent.
-  const WorkId id = link.work_;
-  const auto work = work_.find(id);
   const bool isBegin =
     aKind == CommandKind::Begin || aKind == CommandKind::BeginReadOnly;
-  if (!isBegin || work == work_.end() || !link.answers_.IsIdle()) {
+  if (!isBegin || !IsNotRun(*aAnswer.error_) || work == work_.end() ||
+      !link.answers_.IsIdle()) {
     DropLink(aLink, aNow, aOut);
     return;
   }
-  Server& server = servers_.at(link.server_);
+  RecordRefusedBegin(link, *aAnswer.error_, aNow);
   FreeSlot(link);
   link.work_ = 0;
   link.hasNextCommand_ = false;
   link.state_ = LinkState::Running;
-  if (*aAnswer.error_ == SessionError::Behind) {
-    counters_.serverBehind_++;
-    groups_.at(server.info_.database())
-      .log_.RecordReplicaBehind(link.server_, aNow, link.minPointAt_);
-  }
-  if (*aAnswer.error_ == SessionError::ReadOnly) {
-    PauseServer(server, aNow);
-  }
-  const ServerId serverId = link.server_;
   ReleaseLink(aLink, aNow, aOut);
   work->second.links_.erase(aLink);
-  if (*aAnswer.error_ == SessionError::Behind) {
-    work->second.excludedServers_.insert(serverId);
-  }
   RetryOrFailWork(id, *aAnswer.error_, aAnswer.errorText_, aNow, aOut);
 }
 
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -222,8 +222,9 @@
 }
 
 // Returns a link that its session no longer needs to the idle links. An open
-// transaction is rolled back before; a link to a server that takes no new work,
-// or of an organisation that is no longer served, is closed instead.
+// transaction is rolled back before. Closed instead is a link to a server that
+// takes no new work, of an organisation that is no longer served, or one that
+// has had too many answers to remember.
 void
 Gateway::ReleaseLink(ServerLinkId aLink, Time aNow, GatewayActions& aOut)
 {
@@ -238,7 +239,8 @@
     return;
   }
   link.state_ = LinkState::Idle;
-  if (!MayTakeWork(server, aNow) || !IsServed(link.organisation_)) {
+  if (!MayTakeWork(server, aNow) || !IsServed(link.organisation_) ||
+      link.answers_.IsFull()) {
     CloseIdleLink(server, aLink, aOut);
     return;
   }
--- a/tests/answer_model_test.cpp
+++ b/tests/answer_model_test.cpp
@@ -167,7 +167,13 @@
 
   std::optional<SessionError> DrawError(std::size_t aCommand)
   {
-    if (!config_.errors_ || !RunsStatement(aCommand) || !Draw(30)) {
+    const CommandKind kind = commands_[aCommand].kind_;
+    const bool begins =
+      kind == CommandKind::Begin || kind == CommandKind::BeginReadOnly;
+    const bool fails = begins                    ? Draw(10)
+                       : RunsStatement(aCommand) ? Draw(30)
+                                                 : false;
+    if (!config_.errors_ || !fails) {
       return std::nullopt;
     }
     constexpr SessionError kErrors[] = { SessionError::Behind,
@@ -236,7 +242,13 @@
     RecordAccepted(aDelivery);
     hasFailed_ = answer.state_ == TransactionState::Failed;
     // The gateway closes a connection that it could not set up.
-    closed_ = closed_ || (answer.error_ && !RunsStatement(given));
+    const CommandKind kind = commands_[given].kind_;
+    const bool begins =
+      kind == CommandKind::Begin || kind == CommandKind::BeginReadOnly;
+    closed_ = closed_ || (answer.error_ && !RunsStatement(given) && !begins);
+    if (answer.error_ && begins) {
+      inside_ = statementNext_ = false;
+    }
     if (RunsStatement(given)) {
       statements_++;
       outOfStep_ += answers_.size() != accepted_ ? 1U : 0U;
@@ -341,26 +353,23 @@
     return answer;
   };
 
-  SECTION("since a write is not sent after an answer to an earlier begin")
+  SECTION("since no statement is sent after an answer to an earlier begin")
   {
-    const ServerAnswer begun = run(CommandKind::Begin);
+    const CommandKind kind =
+      GENERATE(CommandKind::Begin, CommandKind::BeginReadOnly);
+    const ServerAnswer begun = run(kind);
     run(CommandKind::Forward);
     run(CommandKind::Forward, true);
-    matcher.Expect({ CommandKind::Begin });
+    matcher.Expect({ kind });
     CHECK(matcher.Check(begun) == AnswerVerdict::Unproven);
   }
 
-  SECTION("if the transaction only reads, by the state that comes with it")
+  SECTION("if it arrives all the same, by the state that comes with it")
   {
-    const ServerAnswer begun = run(CommandKind::BeginReadOnly);
-    run(CommandKind::Forward);
-    run(CommandKind::Forward, true);
-    matcher.Expect({ CommandKind::BeginReadOnly });
-    REQUIRE(matcher.Check(begun) == AnswerVerdict::Matches);
-    matcher.Accept(begun);
+    run(CommandKind::Begin);
     matcher.Expect({ CommandKind::Forward });
-    const ServerAnswer refused =
-      server.Answer(ServerCommand(CommandKind::Begin), SessionError::Behind);
+    const ServerAnswer refused = ConnectionAnswers().Answer(
+      ServerCommand(CommandKind::Begin), SessionError::Behind);
     REQUIRE(refused.state_ == TransactionState::Idle);
     CHECK(matcher.Check(refused) == AnswerVerdict::Unexpected);
   }
--- a/tests/answer_test.cpp
+++ b/tests/answer_test.cpp
@@ -208,13 +208,22 @@
 
   SECTION("although many statements were answered in between")
   {
-    for (int i = 0; i < 200; i++) {
+    const int others = GENERATE(200, 2000, 3000);
+    for (int i = 0; i < others; i++) {
+      if (fixture.newestLink_ != kFirstLink) {
+        break;
+      }
       fixture.Send(2, StatementKind::Read);
-      fixture.Answer(MakeRead("other-" + std::to_string(i), "row"));
+      if (fixture.newestLink_ == kFirstLink) {
+        fixture.Answer(MakeRead("other-" + std::to_string(i), "row"));
+      }
     }
     fixture.Send(3, StatementKind::Read);
-    fixture.Answer(first);
+    if (!fixture.IsClosed(kFirstLink)) {
+      fixture.Answer(first);
+    }
     CHECK(fixture.Replies(3).empty());
+    CHECK(fixture.IsClosed(kFirstLink) == (others == 3000));
   }
 
   SECTION("when it comes while nothing runs on the link")
@@ -347,6 +356,28 @@
     }
   }
 
+  SECTION("of another session, after which the write's own error comes")
+  {
+    const auto busy = MakeError(SessionError::Overloaded);
+    const auto timedOut = MakeError(SessionError::TimedOut);
+    fixture.Send(2, StatementKind::Write);
+    fixture.Answer(busy);
+    fixture.Wait(20ms);
+    fixture.Answer(timedOut); // to the second attempt
+    fixture.Send(3, StatementKind::Write);
+    const auto sent = fixture.Commands(kFirstLink).size();
+    fixture.Answer(busy);
+    fixture.Wait(20ms);
+    fixture.Answer(timedOut); // it has run
+    auto probed = MakeAnswer("");
+    probed.point_ = { 1, 9 };
+    fixture.Answer(probed);
+    fixture.Wait(40ms);
+    CHECK(fixture.Commands(kFirstLink).size() == sent + 1); // the probe
+    REQUIRE(fixture.Replies(3).size() == 1);
+    CHECK(fixture.Replies(3)[0].error_ == SessionError::InDoubt);
+  }
+
   SECTION("which is the answer to the next one if the log has grown")
   {
     auto busy = MakeError(SessionError::Overloaded);
