Gateway: a statement that was not sent gives its slot back when its session ends

After the rollback the link was idle, with the slot of a statement that was never sent; where a VM's share of a server is one slot, it sent nothing more there.

The statement, its slot and the command to send next are now dropped where the rollback ends. answer_test, "A statement that was not sent holds no slot once its session ends": running was 1, is 0.

--- a/gateway/GatewayAnswers.cpp
+++ b/gateway/GatewayAnswers.cpp
@@ -226,6 +226,13 @@
     if (!link.answers_.IsIdle()) {
       return;
     }
+    // A statement of the session that has ended may not have been sent.
+    FreeSlot(link);
+    link.work_ = 0;
+    link.hasNextCommand_ = false;
+    if (work != work_.end() && work->second.session_ == 0) {
+      DropWork(id);
+    }
     if (aAnswer.state_ != TransactionState::Idle) {
       SendCommand(aLink, ServerCommand(CommandKind::Rollback), aNow, aOut);
       return;
--- a/tests/answer_test.cpp
+++ b/tests/answer_test.cpp
@@ -467,6 +467,25 @@
   }
 }
 
+TEST_CASE("A statement that was not sent holds no slot once its session ends")
+{
+  Fixture fixture;
+  fixture.OpenWithRead();
+  fixture.BeginTransaction(2);
+  fixture.Send(2, StatementKind::Set);
+  fixture.Send(2, StatementKind::Write); // waits for the answer to the set
+  REQUIRE(fixture.Commands(kFirstLink).back().kind_ == CommandKind::Set);
+  fixture.Step(SessionEnded{ 2 });
+  fixture.Answer(MakeAnswer("", TransactionState::Open));
+  REQUIRE(fixture.Commands(kFirstLink).back().kind_ == CommandKind::Rollback);
+  fixture.Answer(MakeAnswer(""));
+  CHECK_FALSE(fixture.IsClosed(kFirstLink));
+  ExplanationRequest request;
+  request.database_ = "all";
+  const auto explanation = fixture.gateway_.Explain(request, fixture.now_);
+  CHECK(explanation.servers_.at(0).running_ == 0);
+}
+
 TEST_CASE("A link is closed when an answer belongs to none of its commands")
 {
   Fixture fixture;
