--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -595,7 +595,7 @@
                         GatewayActions& aOut);
   void RecordRefusedBegin(const Link& aLink, SessionError aError, Time aNow);
   void HandleAmbiguousError(ServerLinkId aLink,
-                            ServerAnswer aError,
+                            const ServerAnswer& aError,
                             Time aNow,
                             GatewayActions& aOut);
   void RetryRefusedWork(WorkId aId,
--- a/gateway/GatewayAnswers.cpp
+++ b/gateway/GatewayAnswers.cpp
@@ -64,7 +64,7 @@
       return;
     case AnswerVerdict::Ambiguous:
       counters_.answersAmbiguous_++;
-      HandleAmbiguousError(aEvent.link_, std::move(aEvent.answer_), aNow, aOut);
+      HandleAmbiguousError(aEvent.link_, aEvent.answer_, aNow, aOut);
       return;
     case AnswerVerdict::Unproven:
       counters_.answersUnproven_++;
@@ -89,7 +89,7 @@
   } else {
     kind = link.answers_.Accept(aEvent.answer_);
   }
-  if (kind != CommandKind::Forward && kind != CommandKind::Execute) {
+  if (!RunsStatement(kind)) {
     HandleSetupAnswer(aEvent.link_, kind, aEvent.answer_, aNow, aOut);
     return;
   }
@@ -157,7 +157,7 @@
 // other statement waits until it is known.
 void
 Gateway::HandleAmbiguousError(ServerLinkId aLink,
-                              ServerAnswer aError,
+                              const ServerAnswer& aError,
                               Time aNow,
                               GatewayActions& aOut)
 {
@@ -177,7 +177,8 @@
   link.work_ = 0;
   link.session_ = 0;
   work->second.links_.erase(aLink);
-  RetryRefusedWork(id, link.server_, link.minPointAt_, aError, aNow, aOut);
+  const ServerId server = link.server_;
+  RetryRefusedWork(id, server, link.minPointAt_, aError, aNow, aOut);
 }
 
 // Logs and counts an answer that does not belong to the link's oldest
