Gateway: one function each for the kinds of commands and for releasing a link by its state

RunsStatement and BeginsTransaction now stand beside CommandKind, and ReleaseLinkIn beside ReleaseLink; the gateway, the matcher and the stand-ins call them.

--- a/gateway/AnswerMatcher.cpp
+++ b/gateway/AnswerMatcher.cpp
@@ -24,12 +24,6 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
-bool
-Begins(CommandKind aKind)
-{
-  return aKind == CommandKind::Begin || aKind == CommandKind::BeginReadOnly;
-}
-
 std::size_t
 GetIndex(TransactionState aState)
 {
@@ -60,12 +54,6 @@
   return "unexpected";
 }
 
-bool
-RunsStatement(CommandKind aKind)
-{
-  return aKind == CommandKind::Forward || aKind == CommandKind::Execute;
-}
-
 bool
 AnswerMatcher::IsKnown(const ServerAnswer& aAnswer) const
 {
@@ -93,15 +81,12 @@
 TransactionState
 AnswerMatcher::StateAfter(const ExpectedAnswer& aCommand) const
 {
-  switch (aCommand.kind_) {
-    case CommandKind::Begin:
-    case CommandKind::BeginReadOnly:
-      return TransactionState::Open;
-    case CommandKind::Rollback:
-      return TransactionState::Idle;
-    default:
-      return aCommand.endsTransaction_ ? TransactionState::Idle : state_;
+  if (BeginsTransaction(aCommand.kind_)) {
+    return TransactionState::Open;
   }
+  const bool ends =
+    aCommand.kind_ == CommandKind::Rollback || aCommand.endsTransaction_;
+  return ends ? TransactionState::Idle : state_;
 }
 
 AnswerVerdict
@@ -132,8 +117,8 @@
       state_ != TransactionState::Failed && aAnswer.state_ == state_;
     return canProbe ? AnswerVerdict::Ambiguous : AnswerVerdict::Unproven;
   }
-  return Begins(oldest.kind_) ? AnswerVerdict::Unproven
-                              : AnswerVerdict::Repeated;
+  return BeginsTransaction(oldest.kind_) ? AnswerVerdict::Unproven
+                                         : AnswerVerdict::Repeated;
 }
 
 // Returns true if the answer can't be that to the oldest command, but can be
@@ -182,8 +167,9 @@
     return isSigned ? AnswerVerdict::Unexpected : AnswerVerdict::Repeated;
   }
   // If the begin has failed, a statement after it would run on its own.
-  return Begins(oldest.kind_) && !IsNew(aAnswer) ? AnswerVerdict::Unproven
-                                                 : AnswerVerdict::Matches;
+  return BeginsTransaction(oldest.kind_) && !IsNew(aAnswer)
+           ? AnswerVerdict::Unproven
+           : AnswerVerdict::Matches;
 }
 
 CommandKind
--- a/gateway/AnswerMatcher.h
+++ b/gateway/AnswerMatcher.h
@@ -66,10 +66,6 @@
 std::string_view
 GetVerdictName(AnswerVerdict aVerdict);
 
-// Returns true for commands that run a caller's statement.
-bool
-RunsStatement(CommandKind aKind);
-
 class AnswerMatcher
 {
 public:
--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -821,6 +821,10 @@
                      Time aNow,
                      std::string_view aCause,
                      GatewayActions& aOut);
+  void ReleaseLinkIn(TransactionState aState,
+                     ServerLinkId aLink,
+                     Time aNow,
+                     GatewayActions& aOut);
   void ReleaseLink(ServerLinkId aLink, Time aNow, GatewayActions& aOut);
   void CloseLink(ServerLinkId aLink, GatewayActions& aOut);
   void CloseIdleLink(Server& aServer, ServerLinkId aLink, GatewayActions& aOut);
--- a/gateway/GatewayAnswers.cpp
+++ b/gateway/GatewayAnswers.cpp
@@ -109,9 +109,7 @@
   const bool ownsLink =
     session != sessions_.end() && session->second.txLink_ == aEvent.link_;
   if (!ownsLink) {
-    const bool isIdle = aEvent.answer_.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
-    ReleaseLink(aEvent.link_, aNow, aOut);
+    ReleaseLinkIn(aEvent.answer_.state_, aEvent.link_, aNow, aOut);
   }
 }
 
@@ -246,10 +244,8 @@
     return;
   }
   // The setup failed, so the statement has not been sent.
-  const bool isBegin =
-    aKind == CommandKind::Begin || aKind == CommandKind::BeginReadOnly;
-  if (!isBegin || !IsNotRun(*aAnswer.error_) || work == work_.end() ||
-      !link.answers_.IsIdle()) {
+  if (!BeginsTransaction(aKind) || !IsNotRun(*aAnswer.error_) ||
+      work == work_.end() || !link.answers_.IsIdle()) {
     DropLink(aLink, aNow, aOut);
     return;
   }
@@ -277,9 +273,7 @@
   const ServerId serverId = link.server_;
   const auto found = sessions_.find(work.session_);
   if (found == sessions_.end()) {
-    const bool isIdle = aAnswer.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
-    ReleaseLink(aLink, aNow, aOut);
+    ReleaseLinkIn(aAnswer.state_, aLink, aNow, aOut);
     DropWork(aId);
     return;
   }
@@ -306,12 +300,10 @@
   }
   if (!inTransaction && aAnswer.error_) {
     const Time minPointAt = link.minPointAt_;
-    const bool isIdle = aAnswer.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
     if (*aAnswer.error_ == SessionError::NoStatement) {
       link.prepared_.clear();
     }
-    ReleaseLink(aLink, aNow, aOut);
+    ReleaseLinkIn(aAnswer.state_, aLink, aNow, aOut);
     work.links_.erase(aLink);
     RetryRefusedWork(aId, serverId, minPointAt, aAnswer, aNow, aOut);
     return;
@@ -339,9 +331,7 @@
     session.txState_ = TxState::Failed;
   }
   if (isCommit || !inTransaction) {
-    const bool isIdle = aAnswer.state_ == TransactionState::Idle;
-    link.state_ = isIdle ? LinkState::Running : LinkState::Pinned;
-    ReleaseLink(aLink, aNow, aOut);
+    ReleaseLinkIn(aAnswer.state_, aLink, aNow, aOut);
   }
   work.links_.erase(aLink);
   if (inDoubt) {
--- a/gateway/GatewayServers.cpp
+++ b/gateway/GatewayServers.cpp
@@ -248,6 +248,18 @@
   groupsToDispatch_.insert(server.info_.database());
 }
 
+// Releases a link whose server has answered in this state.
+void
+Gateway::ReleaseLinkIn(TransactionState aState,
+                       ServerLinkId aLink,
+                       Time aNow,
+                       GatewayActions& aOut)
+{
+  links_.at(aLink).state_ =
+    aState == TransactionState::Idle ? LinkState::Running : LinkState::Pinned;
+  ReleaseLink(aLink, aNow, aOut);
+}
+
 // Closes the server's idle links on which nothing was received since `aSince`.
 // If a statement got no answer, `aSince` is its send time: the fault that lost
 // the answer may have broken these links too. Time::max() closes all of them.
--- a/gateway/SessionTypes.cpp
+++ b/gateway/SessionTypes.cpp
@@ -45,4 +45,16 @@
          aError == SessionError::ConnectionLimit;
 }
 
+bool
+RunsStatement(CommandKind aKind)
+{
+  return aKind == CommandKind::Forward || aKind == CommandKind::Execute;
+}
+
+bool
+BeginsTransaction(CommandKind aKind)
+{
+  return aKind == CommandKind::Begin || aKind == CommandKind::BeginReadOnly;
+}
+
 } // namespace jaydoor
--- a/gateway/SessionTypes.h
+++ b/gateway/SessionTypes.h
@@ -126,6 +126,14 @@
   Prepare,
 };
 
+// Returns true for commands that run a caller's statement.
+bool
+RunsStatement(CommandKind aKind);
+
+// Returns true for commands that begin a transaction.
+bool
+BeginsTransaction(CommandKind aKind);
+
 struct ServerCommand
 {
   ServerCommand() = default;
--- a/tests/ConnectionAnswers.h
+++ b/tests/ConnectionAnswers.h
@@ -56,12 +56,11 @@
     if (hasFailed && !isRollback) {
       answer.error_ = aCommand.endsTransaction_ ? SessionError::Aborted
                                                 : SessionError::Malformed;
-    } else if (!aError && RunsStatement(aCommand)) {
+    } else if (!aError && RunsStatement(aCommand.kind_)) {
       answer.signature_ = fmt::format("{}.{}", name_, ++runs_);
     }
     const bool ends = aCommand.endsTransaction_ && (!aError || hasFailed);
-    const bool begins = aCommand.kind_ == CommandKind::Begin ||
-                        aCommand.kind_ == CommandKind::BeginReadOnly;
+    const bool begins = BeginsTransaction(aCommand.kind_);
     if (ends || isRollback) {
       state_ = TransactionState::Idle;
     } else if (begins && !answer.error_) {
@@ -74,13 +73,6 @@
     return answer;
   }
 
-  // Returns true for commands that run a caller's statement.
-  static bool RunsStatement(const ServerCommand& aCommand)
-  {
-    return aCommand.kind_ == CommandKind::Forward ||
-           aCommand.kind_ == CommandKind::Execute;
-  }
-
 private:
   std::string name_;
   std::uint64_t runs_ = 0;
--- a/tests/LoadWorld.cpp
+++ b/tests/LoadWorld.cpp
@@ -309,8 +309,7 @@
   Connection& connection = connections_.at(aJob.link_);
   const bool isReplica = aServer != 0;
   // A caller's statement takes time in a slot.
-  const bool takesSlot =
-    aJob.opens_ || ConnectionAnswers::RunsStatement(aJob.command_);
+  const bool takesSlot = aJob.opens_ || RunsStatement(aJob.command_.kind_);
   if (isReplica && replicasBehind_ && !aJob.opens_ &&
       aJob.command_.minPoint_ != LogPoint{}) {
     Answer(aJob.link_,
--- a/tests/SessionWorld.cpp
+++ b/tests/SessionWorld.cpp
@@ -265,8 +265,7 @@
   Connection& connection = found->second;
   Server& server = servers_[connection.server_];
   const CommandKind kind = connection.inbox_.front().kind_;
-  const bool works =
-    kind == CommandKind::Forward || kind == CommandKind::Execute;
+  const bool works = RunsStatement(kind);
   connection.busy_ = true;
   if (works && server.running_ >= config_.slots_) {
     ScheduleAfter(1ms, [this, aKey] {
--- a/tests/answer_model_test.cpp
+++ b/tests/answer_model_test.cpp
@@ -102,7 +102,7 @@
 
   bool RunsStatement(std::size_t aCommand) const
   {
-    return ConnectionAnswers::RunsStatement(commands_[aCommand]);
+    return jaydoor::RunsStatement(commands_[aCommand].kind_);
   }
 
   // Returns true once in `aCount` times.
@@ -167,9 +167,7 @@
 
   std::optional<SessionError> DrawError(std::size_t aCommand)
   {
-    const CommandKind kind = commands_[aCommand].kind_;
-    const bool begins =
-      kind == CommandKind::Begin || kind == CommandKind::BeginReadOnly;
+    const bool begins = BeginsTransaction(commands_[aCommand].kind_);
     const bool fails = begins                    ? Draw(10)
                        : RunsStatement(aCommand) ? Draw(30)
                                                  : false;
@@ -242,9 +240,7 @@
     RecordAccepted(aDelivery);
     hasFailed_ = answer.state_ == TransactionState::Failed;
     // The gateway closes a connection that it could not set up.
-    const CommandKind kind = commands_[given].kind_;
-    const bool begins =
-      kind == CommandKind::Begin || kind == CommandKind::BeginReadOnly;
+    const bool begins = BeginsTransaction(commands_[given].kind_);
     closed_ = closed_ || (answer.error_ && !RunsStatement(given) && !begins);
     if (answer.error_ && begins) {
       inside_ = statementNext_ = false;
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -208,15 +208,11 @@
   std::optional<ServerAnswer> Answer(ServerLinkId aLink,
                                      const ServerCommand& aCommand)
   {
-    const bool begins = aCommand.kind_ == CommandKind::Begin ||
-                        aCommand.kind_ == CommandKind::BeginReadOnly;
-    if (begins && holdBegins_) {
+    if (BeginsTransaction(aCommand.kind_) && holdBegins_) {
       return std::nullopt;
     }
     ServerAnswer answer = answers_[aLink].Answer(
-      aCommand,
-      ConnectionAnswers::RunsStatement(aCommand) ? statementError_
-                                                 : std::nullopt);
+      aCommand, RunsStatement(aCommand.kind_) ? statementError_ : std::nullopt);
     answer.point_ = { 1, 1 };
     return answer;
   }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -178,12 +178,7 @@
   }
 
   // Statements of callers that were sent to servers.
-  std::size_t CountForwarded() const
-  {
-    return CountCommands([](CommandKind aKind) {
-      return aKind == CommandKind::Forward || aKind == CommandKind::Execute;
-    });
-  }
+  std::size_t CountForwarded() const { return CountCommands(RunsStatement); }
 
   std::optional<SessionReply> LastReply() const
   {
