Base: one predicate for control characters; log lines without any are appended whole

A log line is copied byte by byte only if it has something to escape, which lines of the log usually have not.

--- a/base/Log.cpp
+++ b/base/Log.cpp
@@ -1,5 +1,7 @@
 #include "base/Log.h"
 
+#include "base/Characters.h"
+
 #include <unistd.h>
 
 #include <algorithm>
@@ -104,7 +106,10 @@
 void
 AppendEscaped(std::string& aOut, std::string_view aText)
 {
-  constexpr char kDelete = 0x7f;
+  if (std::none_of(aText.begin(), aText.end(), IsControlCharacter)) {
+    aOut += aText;
+    return;
+  }
   for (const char c : aText) {
     if (c == '\n') {
       aOut += "\\n";
@@ -112,7 +117,7 @@
       aOut += "\\r";
     } else if (c == '\t') {
       aOut += "\\t";
-    } else if (static_cast<unsigned char>(c) < ' ' || c == kDelete) {
+    } else if (IsControlCharacter(c)) {
       fmt::format_to(
         std::back_inserter(aOut), "\\x{:02x}", static_cast<unsigned char>(c));
     } else {
--- a/daemon/Settings.cpp
+++ b/daemon/Settings.cpp
@@ -1,5 +1,6 @@
 #include "daemon/Settings.h"
 
+#include "base/Characters.h"
 #include "wire/Json.h"
 
 #include <algorithm>
@@ -203,16 +204,11 @@
 bool
 IsHeaderValue(std::string_view aText)
 {
-  constexpr std::string_view kBlanks = " \t";
-  constexpr char kDelete = 0x7f;
-  const auto isBlank = [&](char aChar) {
-    return kBlanks.find(aChar) != std::string_view::npos;
-  };
+  const auto isBlank = [](char aChar) { return aChar == ' ' || aChar == '\t'; };
   return aText.empty() ||
          (!isBlank(aText.front()) && !isBlank(aText.back()) &&
           std::all_of(aText.begin(), aText.end(), [&](char aChar) {
-            return isBlank(aChar) || (static_cast<unsigned char>(aChar) > ' ' &&
-                                      aChar != kDelete);
+            return isBlank(aChar) || !IsControlCharacter(aChar);
           }));
 }
 
