--- a/gateway/Gateway.h
+++ b/gateway/Gateway.h
@@ -523,7 +523,7 @@
     bool heldLease_ = false; // the lease was held at the last tick
     Time releasedAt_;        // grants requested up to this time are void
     std::uint64_t releasedTerm_ = 0; // highest term whose lease was revoked
-    std::uint64_t revokingLeaderTerm_ = 0; // term of the leader that revoked it
+    std::uint64_t revocationId_ = 0; // by which the leader revoked it
     // After a revocation: running statements may finish until this time, then
     // the lease is released.
     std::optional<Time> leaseDrainUntil_;
--- a/gateway/GatewayLeases.cpp
+++ b/gateway/GatewayLeases.cpp
@@ -163,7 +163,7 @@
       group.leaseDrainUntil_ = aNow + kLeaseDrainTimeout;
     }
     group.releasedTerm_ = std::max(group.releasedTerm_, lease.term());
-    group.revokingLeaderTerm_ = aEvent.revoke_.leader_term();
+    group.revocationId_ = aEvent.revoke_.leader_term();
     AbortLeasedTransactions(lease.database(), aNow, aOut);
     if (!IsLeaseUsed(lease.database(), group.releasedTerm_)) {
       FinishRelease(lease.database(), aNow, aOut);
@@ -220,7 +220,7 @@
   group.releasedAt_ = aNow;
   wire::LeaseRelease release;
   release.set_incarnation(config_.incarnation_);
-  release.set_leader_term(group.revokingLeaderTerm_);
+  release.set_leader_term(group.revocationId_);
   wire::PrimaryLease& lease = *release.add_leases();
   lease.set_database(aGroup);
   lease.set_server(group.lease_.server_);
