review: a drain passes a late statement on and then cuts it

Cause: a transaction that has begun without a statement is not ended at the drain limit; its first statement is sent to a server until the process stops.

--- a/review/Bed.h
+++ b/review/Bed.h
@@ -512,6 +512,13 @@
     return false;
   }
 
+  // True if a server has received the statement.
+  bool HasReached(const std::string& aId)
+  {
+    const std::lock_guard lock(mutex_);
+    return reached_.count(aId) > 0;
+  }
+
   // Work of reads, writes and commits from now on.
   void SetWorkMs(int aMs) { workMs_ = aMs; }
 
@@ -662,6 +669,7 @@
     const bool works = verb == "READ" || verb == "WRITE" ||
                        verb == "EXECUTE" || verb == "COMMIT";
     std::unique_lock lock(mutex_);
+    reached_.insert(aId);
     if (works) {
       aServer.slotFree_.wait(
         lock, [&] { return aServer.busySlots_ < config_.slots_; });
@@ -855,6 +863,7 @@
   std::mutex mutex_;
   std::condition_variable heartbeatDue_;
   std::vector<std::unique_ptr<Server>> servers_;
+  std::set<std::string> reached_; // ids of statements
   std::uint64_t signatures_ = 0;
   int stepDowns_ = 0;
 };
