review: a given-up promotion takes effect after a later one

Cause: after 3 s without effect another successor is promoted, though the requests for the first one may still be carried out. Change: case 6 (script); the stand-ins model a former primary and a slow platform.

--- a/review/Bed.h
+++ b/review/Bed.h
@@ -500,9 +500,10 @@
                             server.id_.c_str(),
                             static_cast<unsigned long long>(server.term_));
           for (auto& other : servers_) {
-            if (other->number_ != server.number_) {
-              other->primary_ = false;
+            if (!other->primary_) {
               other->log_ = server.log_;
+            } else if (other->number_ != server.number_) {
+              EndLater(*other, server);
             }
           }
         }).detach();
@@ -519,6 +520,24 @@
     return reached_.count(aId) > 0;
   }
 
+  // Writes that were committed at a server after another one had become the
+  // primary of a later term; by id, with the time of the commit.
+  std::map<std::string, double> LateCommits()
+  {
+    const std::lock_guard lock(mutex_);
+    return lateCommits_;
+  }
+
+  // Is the value in the log of the primary of the latest term?
+  bool Holds(const std::string& aItem, const std::string& aData)
+  {
+    const std::lock_guard lock(mutex_);
+    const auto& log = servers_[FindPrimary()]->log_;
+    return std::any_of(log.begin(), log.end(), [&](const Entry& aEntry) {
+      return aEntry.item_ == aItem && aEntry.data_ == aData;
+    });
+  }
+
   // Work of reads, writes and commits from now on.
   void SetWorkMs(int aMs) { workMs_ = aMs; }
 
@@ -568,6 +587,23 @@
     return best;
   }
 
+  // A former primary continues until a second after it can reach the new one.
+  void EndLater(Server& aFormer, const Server& aNext)
+  {
+    std::thread([this, &aFormer, &aNext] {
+      Sleep(1000);
+      const std::lock_guard lock(mutex_);
+      if (aFormer.primary_ && aFormer.term_ < aNext.term_) {
+        aFormer.primary_ = false;
+        aFormer.term_ = aNext.term_;
+        aFormer.log_ = aNext.log_;
+        GetRecord().Write("server %s follows %s",
+                          aFormer.id_.c_str(),
+                          aNext.id_.c_str());
+      }
+    }).detach();
+  }
+
   void Accept(Server& aServer, int aFd)
   {
     while (true) {
@@ -696,6 +732,10 @@
       if (verb == "STEPDOWN") {
         if (aServer.primary_ && std::stoull(rest) > aServer.term_) {
           aServer.primary_ = false;
+          const Server& primary = *servers_[FindPrimary()];
+          if (primary.primary_) {
+            aServer.log_ = primary.log_;
+          }
         }
         stepDowns_++;
         GetRecord().Write("server %s: STEPDOWN %s",
@@ -726,7 +766,7 @@
         error = lost ? "READONLY" : "ABORTED";
       } else {
         for (const auto& [item, data] : aSession.writes_) {
-          Commit(aServer, item, data);
+          Commit(aServer, aId, item, data);
         }
         signature = Sign(aServer, aId);
       }
@@ -762,7 +802,7 @@
         } else if (aSession.inTransaction_) {
           aSession.writes_.emplace_back(item, rest);
         } else {
-          Commit(aServer, item, rest);
+          Commit(aServer, aId, item, rest);
         }
         signature = Sign(aServer, aId);
       }
@@ -801,15 +841,28 @@
     return data;
   }
 
-  void Commit(Server& aServer, const std::string& aItem, const std::string& aData)
+  // A commit reaches the replicas of the latest primary only.
+  void Commit(Server& aServer,
+              const std::string& aId,
+              const std::string& aItem,
+              const std::string& aData)
   {
-    const Entry entry{ aServer.term_,
-                       aItem,
-                       aData,
-                       std::chrono::steady_clock::now() +
-                         Millis(config_.lagMs_) };
+    const auto now = std::chrono::steady_clock::now();
+    const Entry entry{
+      aServer.term_, aItem, aData, now + Millis(config_.lagMs_)
+    };
+    if (FindPrimary() != aServer.number_) {
+      aServer.log_.push_back(entry);
+      lateCommits_[aId] = GetRecord().Seconds();
+      GetRecord().Write("server %s, which is no longer the primary, commits %s",
+                        aServer.id_.c_str(),
+                        aId.c_str());
+      return;
+    }
     for (auto& server : servers_) {
-      server->log_.push_back(entry);
+      if (server->number_ == aServer.number_ || !server->primary_) {
+        server->log_.push_back(entry);
+      }
     }
   }
 
@@ -864,6 +917,7 @@
   std::condition_variable heartbeatDue_;
   std::vector<std::unique_ptr<Server>> servers_;
   std::set<std::string> reached_; // ids of statements
+  std::map<std::string, double> lateCommits_;
   std::uint64_t signatures_ = 0;
   int stepDowns_ = 0;
 };
@@ -917,6 +971,14 @@
     GetRecord().Write("platform is slow: it accepts no connections");
   }
 
+  // From now on, a call is carried out and answered so long after it has
+  // arrived.
+  void SetDelay(int aMs)
+  {
+    GetRecord().Write("platform takes %d ms for a call", aMs);
+    delayMs_ = aMs;
+  }
+
   std::vector<PromotionCall> Calls()
   {
     const std::lock_guard lock(mutex_);
@@ -965,6 +1027,12 @@
                         call.holder_.c_str(),
                         static_cast<unsigned long long>(call.token_),
                         call.id_.c_str());
+      if (const int delay = delayMs_; delay > 0) {
+        Sleep(delay);
+        GetRecord().Write("platform carries out the call of %.3f for %s",
+                          call.at_,
+                          call.id_.c_str());
+      }
       const bool known = database_.Promote(call.id_);
       {
         const std::lock_guard lock(mutex_);
@@ -982,6 +1050,7 @@
   Database& database_;
   int fd_ = -1;
   std::atomic<bool> slow_{ false };
+  std::atomic<int> delayMs_{ 0 };
   std::vector<int> fillers_;
   std::mutex mutex_;
   std::vector<PromotionCall> calls_;
@@ -1064,6 +1133,8 @@
 struct BedConfig
 {
   int fronts_ = 3;
+  int cores_ = 3;      // in three zones
+  int diskLosses_ = 1; // to be borne at once
   int workMs_ = 8;
   int promoteMs_ = 1000;
 };
@@ -1103,7 +1174,7 @@
     database.promoteMs_ = config_.promoteMs_;
     database_ = std::make_unique<Database>(database);
     platform_ = std::make_unique<Platform>(MakeHost(1, 200), *database_);
-    for (int number = 1; number <= 3; number++) {
+    for (int number = 1; number <= config_.cores_; number++) {
       StartProcess(CoreName(number), true);
     }
     for (int number = 1; number <= config_.fronts_; number++) {
@@ -1169,11 +1240,11 @@
     return count;
   }
 
-  // The core machine that leads: the last one whose log says so.
+  // The core machine that leads; 0: none says so.
   int FindLeader()
   {
     int leader = 0;
-    for (int number = 1; number <= 3; number++) {
+    for (int number = 1; number <= config_.cores_; number++) {
       const auto reply = CallHttp(
         ControlHost(number), kFirstInternalPort + 1, "GET", "/metrics", "");
       if (reply.body_.find("jaydoor_is_leader 1") != std::string::npos) {
@@ -1210,7 +1281,10 @@
 
   Database& GetDatabase() { return *database_; }
   Platform& GetPlatform() { return *platform_; }
-  std::string ControlHost(int aNumber) const { return MakeHost(aNumber, 10); }
+  std::string ControlHost(int aNumber) const
+  {
+    return MakeHost((aNumber - 1) % 3 + 1, 10 + (aNumber - 1) / 3);
+  }
   std::string FrontHost(int aNumber) const
   {
     return MakeHost((aNumber - 1) % 3 + 1, 20 + (aNumber - 1) / 3);
@@ -1288,8 +1362,9 @@
          << "\nfaultCounted: " << (core ? "true" : "false")
          << "\nlimits:\n  cpuShare: 0.5\n  cores: 1\n  memoryMb: "
          << (core ? 256 : 520) << "\n  maxFds: " << (core ? 4096 : 8400)
-         << "\nheartbeatIntervalMs: 1200\nfaultTolerance:\n  machines: 1\n  "
-            "zones: 1\n  regions: 0\nbounds:\n  stableWindowMs: 4000\n  "
+         << "\nheartbeatIntervalMs: 1200\nfaultTolerance:\n  machines: "
+         << config_.diskLosses_
+         << "\n  zones: 1\n  regions: 0\nbounds:\n  stableWindowMs: 4000\n  "
             "drainMs: 7000\n  graceS: 6\n  lossSlackMs: 200\n  "
             "configApplyMs: 3000\n  fencingRequired: false\n  thawMs: "
             "300\ncloudApi:\n  address: \""
