--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -7,7 +7,8 @@
 
 constexpr int kWriters = 6;
 constexpr int kPlatformDelayMs = 3500;
-constexpr int kObservedMs = 16'000;
+constexpr int kSlowMs = 6000;
+constexpr int kObservedMs = 20'000; // after that
 
 struct Acked
 {
@@ -69,6 +70,10 @@
     bed.GetPlatform().SetDelay(kPlatformDelayMs);
   }
   bed.GetDatabase().Leave(bed.GetDatabase().Primary());
+  Sleep(kSlowMs);
+  if (HasTrouble()) {
+    bed.GetPlatform().SetDelay(0);
+  }
   Sleep(kObservedMs);
   going = false;
   for (auto& writer : writers) {
