--- a/review/Bed.h
+++ b/review/Bed.h
@@ -37,6 +37,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -1254,24 +1255,27 @@
     return leader;
   }
 
-  int ReplaceConfig(int aVersion, int aReadTimeoutMs = 2000)
+  // Sends a configuration with three routes, and others that nobody uses, to a
+  // core machine; returns the HTTP status.
+  int ReplaceConfig(int aVersion, int aCore = 1, int aUnusedRoutes = 0)
   {
     std::ostringstream text;
     text << R"({"version":)" << aVersion << R"(,"routes":[)";
     const char* kinds[] = { "primary", "read_your_writes", "bounded_staleness" };
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < 3 + aUnusedRoutes; i++) {
+      const int kind = std::min(i, 2);
       text << (i == 0 ? "" : ",") << R"({"name":"r-)" << i << R"(","host":")"
-           << kinds[i] << R"(","pathPrefix":"/","routeType":")" << kinds[i]
-           << R"(","timeoutMs":)" << (i == 2 ? aReadTimeoutMs : 1000)
-           << R"(,"targetLatencyMs":)" << (i == 2 ? 1200 : 400)
-           << R"(,"priority":)" << i
+           << (i < 3 ? kinds[i] : MakeWord()) << R"(","pathPrefix":"/","routeType":")"
+           << kinds[kind] << R"(","timeoutMs":)" << (kind == 2 ? 2000 : 1000)
+           << R"(,"targetLatencyMs":)" << (kind == 2 ? 1200 : 400)
+           << R"(,"priority":)" << kind
            << R"(,"service":"orders","maxAttempts":2,"maxStalenessMs":2500})";
     }
     text << R"(],"services":[{"name":"orders","healthPath":"/health",)"
          << R"("maxConns":21,"protocol":"h1","tls":false,"syncReplicas":0}],)"
          << R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
          << R"("headerTimeoutMs":3000,"idleTimeoutMs":15000,"txIdleMs":3000}})";
-    return CallHttp(ControlHost(1),
+    return CallHttp(ControlHost(aCore),
                     kControlPort,
                     "POST",
                     "/Config.Replace",
@@ -1279,6 +1283,38 @@
       .status_;
   }
 
+  // The version that a core machine reads back; 0: it does not answer 200.
+  int FetchVersion(int aCore)
+  {
+    const auto result =
+      CallHttp(ControlHost(aCore), kControlPort, "GET", "/Config.Fetch", "");
+    const auto at = result.body_.find("\"version\":");
+    return result.status_ == 200 && at != std::string::npos
+             ? std::atoi(result.body_.c_str() + at + 10)
+             : 0;
+  }
+
+  // The last number that follows the text in a process's log; 0: none.
+  std::uint64_t FindLastNumber(const std::string& aName,
+                               const std::string& aText)
+  {
+    std::ifstream log(LogPath(aName));
+    std::uint64_t number = 0;
+    for (std::string line; std::getline(log, line);) {
+      const auto at = line.find(aText);
+      if (at != std::string::npos) {
+        number = std::strtoull(line.c_str() + at + aText.size(), nullptr, 10);
+      }
+    }
+    return number;
+  }
+
+  // The data folder of a core machine.
+  std::string DataPath(const std::string& aName) const
+  {
+    return folder_ + "/" + aName;
+  }
+
   Database& GetDatabase() { return *database_; }
   Platform& GetPlatform() { return *platform_; }
   std::string ControlHost(int aNumber) const
@@ -1309,6 +1345,17 @@
            "." + std::to_string(aHost);
   }
 
+  static std::string MakeWord()
+  {
+    static std::mt19937_64 random(1);
+    char word[20];
+    std::snprintf(word,
+                  sizeof(word),
+                  "%016llx",
+                  static_cast<unsigned long long>(random()));
+    return word;
+  }
+
   static std::string ZoneName(int aZone)
   {
     return std::string("zone-") + static_cast<char>('a' + aZone - 1);
