--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int kUnusedRoutes = 700; // two times what big_config adds on the sheet
-constexpr int kChangeGapMs = 40;
+constexpr int kChangeGapMs = 60; // as in the storms of the sheet
 constexpr int kMaxChanges = 900;
 constexpr int kCompactionMs = 1200;
 constexpr int kRollGapMs = 1450;
