review: two removals 1.5 s apart take the quorum for good

Cause: caught-up learners do not vote while the voters are complete, and a voter that ended without SIGTERM is replaced only after more than 2 s.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
+# run. TROUBLE=0: the same without the disruption.
+cd "$(dirname "$0")" || exit 2
+[ -x ../../target/review-2/case-8 ] || exit 2
+exec ../../target/review-2/case-8
