--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,7 @@
 # run. TROUBLE=0: the same without the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review-2/case-6 ] || exit 2
-exec ../../target/review-2/case-6
+timeout -k 3 115 ../../target/review-2/case-6
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
--- a/review/Bed.h
+++ b/review/Bed.h
@@ -128,12 +128,30 @@
   std::this_thread::sleep_for(Millis(aMs));
 }
 
-// Ends the script: the case could not run.
+// The temporary folder of the deployment.
+inline std::string&
+GetFolder()
+{
+  static std::string folder;
+  return folder;
+}
+
+inline void
+RemoveFolder()
+{
+  const std::string command = "rm -rf '" + GetFolder() + "'";
+  if (!GetFolder().empty() && std::system(command.c_str()) != 0) {
+    GetRecord().Write("the temporary folder is still there");
+  }
+}
+
+// Ends the script: the case could not run. The processes end with it.
 [[noreturn]] inline void
 GiveUp(const std::string& aCause)
 {
   GetRecord().Write("the case could not run: %s", aCause.c_str());
   std::fprintf(stderr, "the case could not run: %s\n", aCause.c_str());
+  RemoveFolder();
   std::_Exit(2);
 }
 
@@ -1059,6 +1077,7 @@
       GiveUp("no temporary folder");
     }
     folder_ = path;
+    GetFolder() = folder_;
     network_ = FindNetwork();
   }
 
@@ -1129,10 +1148,7 @@
   void EndAll()
   {
     processes_.clear();
-    const std::string command = "rm -rf " + folder_;
-    if (std::system(command.c_str()) != 0) {
-      GetRecord().Write("the temporary folder is still there");
-    }
+    RemoveFolder();
   }
 
   std::size_t CountInLog(const std::string& aName, const std::string& aText)
