--- a/review/Rig.h
+++ b/review/Rig.h
@@ -225,9 +225,12 @@
 {
 public:
   Listener(const Address& aAddress,
-           std::function<void(const StreamPtr&)> aServe,
-           int aBacklog = 512)
-    : socket_(ListenAt(aAddress, aBacklog))
+           std::function<void(const StreamPtr&)> aServe)
+    : Listener(ListenAt(aAddress), std::move(aServe))
+  {
+  }
+  Listener(int aSocket, std::function<void(const StreamPtr&)> aServe)
+    : socket_(aSocket)
     , serve_(std::move(aServe))
   {
     if (socket_ >= 0) {
@@ -522,6 +525,35 @@
 
   // For the tests: how long the platform takes to handle a promotion.
   void SetPlatformDelay(Ms aDelay) { platformDelayMs_ = aDelay; }
+  // Cuts the platform off: packets that open a connection to it are dropped,
+  // because its queue of new connections is full.
+  void CutPlatform()
+  {
+    platform_->Stop();
+    cutSocket_ = ListenAt(config_.platform_, 0);
+    for (int i = 0; i < 3; i++) {
+      const int filler =
+        socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      const sockaddr_in address = ToSockaddr(config_.platform_);
+      connect(
+        filler, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+      fillers_.push_back(filler);
+    }
+    record_.Add("the platform is cut off");
+  }
+  void JoinPlatform()
+  {
+    for (const int filler : fillers_) {
+      close(filler);
+    }
+    fillers_.clear();
+    listen(cutSocket_, 512);
+    platform_ =
+      std::make_unique<Listener>(cutSocket_, [this](const StreamPtr& aStream) {
+        ServePlatform(*aStream);
+      });
+    record_.Add("the platform can be reached again");
+  }
   // Milliseconds by which the server answers STATUS later.
   void SetStatusDelay(std::size_t aServer, Ms aDelay)
   {
@@ -1081,6 +1113,8 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::unique_ptr<Listener> platform_;
   std::atomic<Ms> platformDelayMs_ = 0;
+  int cutSocket_ = -1;       // the platform's port while it is cut off
+  std::vector<int> fillers_; // connections that fill its queue
   std::string promotingServer_;
   std::vector<Commit> commits_;
   std::vector<Promotion> promotions_;
@@ -1259,6 +1293,20 @@
   }
   const std::string& Folder() const { return folder_; }
 
+  // Returns the name of the control process that leads; empty if none does.
+  std::string FindLeader() const
+  {
+    for (int number = 1; number <= 3; number++) {
+      Address at = places_.Control(number);
+      at.port_ = kFirstInternalPort + 1;
+      const auto answer = CallHttp(at, "GET", "/metrics", "", 1000);
+      if (answer.body_.find("jaydoor_is_leader 1") != std::string::npos) {
+        return fmt::format("core-{}", number);
+      }
+    }
+    return {};
+  }
+
   // Sends a configuration until it is acknowledged.
   bool Configure(const std::string& aBody, Ms aTimeout)
   {
