Review: case 14, a replica without acknowledged commits is promoted

With syncReplicas 1, an acknowledged commit is on the primary and on one replica. If the primary crashes while that replica answers STATUS with BUSY, the leader promotes the other one 60 ms after its status has arrived.

--- a/review/Rig.h
+++ b/review/Rig.h
@@ -412,6 +412,7 @@
   Ms at_ = 0;
   std::string server_;
   std::uint64_t term_ = 0;
+  std::set<std::string> log_; // data of the commits in the server's log
 };
 
 // A request to the service that promotes servers.
@@ -431,7 +432,10 @@
   std::vector<Address> servers_;  // the first one is the primary at the start
   std::vector<Address> controls_; // receive the heartbeats
   Address platform_;              // promotes servers
-  Ms workMs_ = 8;                 // of a read, write or commit
+  Ms workMs_ = 8;                 // of a write or commit
+  Ms readMs_ = 8;                 // of a read
+  std::size_t slots_ = 0;         // statements at once at a server; 0: no limit
+  std::size_t queue_ = 24;        // statements that wait for a slot
   Ms transferMs_ = 2;             // until replicas have received a commit
   Ms lagMs_ = 20;                 // until replicas show a commit
   Ms promoteMs_ = 1000;           // until a promoted server leads
@@ -554,12 +558,6 @@
       });
     record_.Add("the platform can be reached again");
   }
-  // Milliseconds by which the server answers STATUS later.
-  void SetStatusDelay(std::size_t aServer, Ms aDelay)
-  {
-    const std::scoped_lock lock(mutex_);
-    servers_[aServer]->statusDelayMs_ = aDelay;
-  }
   // Milliseconds until this replica has received a commit.
   void SetTransfer(std::size_t aServer, Ms aDelay)
   {
@@ -610,8 +608,9 @@
     std::uint64_t term_ = 1;
     std::int64_t born_ = 0;
     std::uint64_t sequence_ = 0;
-    Ms statusDelayMs_ = 0;
-    Ms transferMs_ = -1; // below 0: that of the group
+    std::size_t running_ = 0; // statements that have a slot
+    std::size_t waiting_ = 0; // statements that wait for one
+    Ms transferMs_ = -1;      // below 0: that of the group
     std::vector<LogEntry> log_;
     std::unique_ptr<Listener> listener_;
   };
@@ -737,26 +736,82 @@
       const std::size_t dot = point.find('.');
       since = { std::stoull(point), std::stoull(point.substr(dot + 1)) };
     }
-    const bool works = aQuery.starts_with("READ ") ||
-                       aQuery.starts_with("WRITE ") ||
+    const bool reads = aQuery.starts_with("READ ");
+    const bool works = reads || aQuery.starts_with("WRITE ") ||
                        aQuery.starts_with("EXECUTE ") || aQuery == "COMMIT";
+    const bool hasSlot = works ? AwaitSlot(aServer) : HasFreeSlot(aServer);
+    if (!hasSlot && (works || aQuery == "STATUS")) {
+      const std::scoped_lock lock(mutex_);
+      record_.Add("at {} run id={} {} -> BUSY", aServer.id_, id, aQuery);
+      return fmt::format("ERROR BUSY {}\r\nREADY {} {}\r\n",
+                         aServer.id_,
+                         aSession.inTransaction_ ? 'T' : 'I',
+                         FormatPoint(aServer));
+    }
     if (works) {
-      SleepMs(config_.workMs_);
+      SleepMs(reads ? config_.readMs_ : config_.workMs_);
+      FreeSlot(aServer);
+    }
+    const std::string out = Execute(aServer, aSession, id, aQuery, since);
+    if (config_.syncReplicas_ > 0 && (works && !reads)) {
+      // One replica has received the commit before it is acknowledged.
+      SleepMs(config_.transferMs_ + 1);
     }
-    if (aQuery == "STATUS") {
-      Ms delay = 0;
+    return out;
+  }
+
+  bool HasFreeSlot(Server& aServer)
+  {
+    const std::scoped_lock lock(mutex_);
+    return config_.slots_ == 0 || aServer.running_ < config_.slots_;
+  }
+
+  // Takes a slot, once there is one; returns false if too many wait.
+  bool AwaitSlot(Server& aServer)
+  {
+    {
+      const std::scoped_lock lock(mutex_);
+      if (config_.slots_ == 0) {
+        return true;
+      }
+      if (aServer.waiting_ >= config_.queue_) {
+        return false;
+      }
+      aServer.waiting_++;
+    }
+    while (true) {
       {
         const std::scoped_lock lock(mutex_);
-        delay = aServer.statusDelayMs_;
+        if (aServer.running_ < config_.slots_) {
+          aServer.waiting_--;
+          aServer.running_++;
+          return true;
+        }
       }
-      SleepMs(delay);
+      SleepMs(1);
     }
+  }
+
+  void FreeSlot(Server& aServer)
+  {
+    const std::scoped_lock lock(mutex_);
+    aServer.running_ -= config_.slots_ == 0 ? 0U : 1U;
+  }
+
+  // Runs a query and returns the lines of its answer.
+  std::string Execute(
+    Server& aServer,
+    Session& aSession,
+    const std::string& aId,
+    const std::string& aQuery,
+    const std::optional<std::pair<std::uint64_t, std::size_t>>& aSince)
+  {
     const std::scoped_lock lock(mutex_);
     Answer answer;
-    if (since && VisiblePoint(aServer) < *since) {
+    if (aSince && VisiblePoint(aServer) < *aSince) {
       answer.error_ = "LAGGING";
     } else {
-      answer = RunStatement(aServer, aSession, id, aQuery);
+      answer = RunStatement(aServer, aSession, aId, aQuery);
     }
     if (!answer.error_.empty() && aSession.inTransaction_) {
       aSession.failed_ = true;
@@ -776,7 +831,7 @@
     if (aQuery != "STATUS") {
       record_.Add("at {} run id={} {} -> {}",
                   aServer.id_,
-                  id,
+                  aId,
                   aQuery,
                   answer.error_.empty() ? "COMPLETE " + answer.signature_
                                         : answer.error_);
@@ -1082,7 +1137,11 @@
       leader->log_.resize(CountReceived(*leader));
       leader->primary_ = true;
       leader->term_ = term;
-      promotions_.push_back({ Now(), aServer, term });
+      Promotion promotion{ Now(), aServer, term, {} };
+      for (const auto& entry : leader->log_) {
+        promotion.log_.insert(entry.data_);
+      }
+      promotions_.push_back(std::move(promotion));
       record_.Add("server {} leads term {} from log position {}",
                   aServer,
                   term,
