--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -84,18 +84,18 @@
   Group group(config, record);
   Fleet fleet(places, aArguments[1], record);
   if (!group.Start(3)) {
-    return kCannotRun;
+    Finish(fleet, kCannotRun);
   }
   fleet.StartAll(kEntries);
   if (!fleet.Configure(MakeConfig(1), 20'000) ||
       !fleet.AwaitReady(kEntries, 20'000)) {
-    return kCannotRun;
+    Finish(fleet, kCannotRun);
   }
   fleet.Start("core-4", false);
   SleepMs(kSuccessorTime);
   // The successor acknowledges a change, and so does a machine that stays.
   if (!Replace(places, 4, 2, record) || !Replace(places, 3, kVersion, record)) {
-    return kCannotRun;
+    Finish(fleet, kCannotRun);
   }
   SleepMs(1000);
   if (!isCalm) {
@@ -129,5 +129,5 @@
     record.Add("BROKEN CONFIG: version {} was acknowledged and can't be read",
                kVersion);
   }
-  return reads == 0 ? kBroken : kHeld;
+  Finish(fleet, reads == 0 ? kBroken : kHeld);
 }
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -17,7 +17,7 @@
 
 constexpr int kEntries = 4;
 constexpr int kWriters = 6;
-constexpr int kReaders = 24;
+constexpr int kReaders = 26;
 constexpr Ms kTraffic = 16'000;
 constexpr Ms kDeafAt = 4000;  // after the start of traffic
 constexpr Ms kCrashAt = 6500; // the same
@@ -116,16 +116,17 @@
   Group group(config, record);
   Fleet fleet(places, aArguments[1], record);
   if (!group.Start(3)) {
-    return kCannotRun;
+    Finish(fleet, kCannotRun);
   }
   fleet.StartAll(kEntries);
   if (!fleet.Configure(MakeConfig(1, 1), 20'000) ||
       !fleet.AwaitReady(kEntries, 20'000)) {
-    return kCannotRun;
+    Finish(fleet, kCannotRun);
   }
   SleepMs(5000);
   Outcomes outcomes(record);
   std::vector<std::thread> clients;
+  clients.reserve(kWriters + kReaders);
   const Ms start = Now();
   for (int number = 0; number < kWriters; number++) {
     clients.emplace_back(
@@ -151,7 +152,7 @@
   }
   const int broken = Judge(group, outcomes, record);
   if (group.Promotions().empty()) {
-    return kCannotRun;
+    Finish(fleet, kCannotRun);
   }
-  return broken > 0 ? kBroken : kHeld;
+  Finish(fleet, broken > 0 ? kBroken : kHeld);
 }
--- a/review/Rig.h
+++ b/review/Rig.h
@@ -23,6 +23,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <deque>
@@ -395,17 +396,6 @@
   Ms visibleAt_ = 0;    // a replica shows it from this time on
 };
 
-// A write that a server has committed.
-struct Commit
-{
-  Ms at_ = 0;
-  std::string server_;
-  std::uint64_t term_ = 0;
-  std::string statement_; // id of the write or of the COMMIT
-  std::string item_;
-  std::string data_;
-};
-
 // A promotion that has taken effect.
 struct Promotion
 {
@@ -415,17 +405,6 @@
   std::set<std::string> log_; // data of the commits in the server's log
 };
 
-// A request to the service that promotes servers.
-struct PromotionCall
-{
-  Ms arrivedAt_ = 0;
-  Ms handledAt_ = 0;
-  std::string server_;
-  std::string holder_;
-  std::uint64_t token_ = 0;
-  int status_ = 0;
-};
-
 struct GroupConfig
 {
   std::string service_ = "db";
@@ -527,37 +506,6 @@
     record_.Add("server {} is draining", servers_[aServer]->id_);
   }
 
-  // For the tests: how long the platform takes to handle a promotion.
-  void SetPlatformDelay(Ms aDelay) { platformDelayMs_ = aDelay; }
-  // Cuts the platform off: packets that open a connection to it are dropped,
-  // because its queue of new connections is full.
-  void CutPlatform()
-  {
-    platform_->Stop();
-    cutSocket_ = ListenAt(config_.platform_, 0);
-    for (int i = 0; i < 3; i++) {
-      const int filler =
-        socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      const sockaddr_in address = ToSockaddr(config_.platform_);
-      connect(
-        filler, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-      fillers_.push_back(filler);
-    }
-    record_.Add("the platform is cut off");
-  }
-  void JoinPlatform()
-  {
-    for (const int filler : fillers_) {
-      close(filler);
-    }
-    fillers_.clear();
-    listen(cutSocket_, 512);
-    platform_ =
-      std::make_unique<Listener>(cutSocket_, [this](const StreamPtr& aStream) {
-        ServePlatform(*aStream);
-      });
-    record_.Add("the platform can be reached again");
-  }
   // Milliseconds until this replica has received a commit.
   void SetTransfer(std::size_t aServer, Ms aDelay)
   {
@@ -565,36 +513,11 @@
     servers_[aServer]->transferMs_ = aDelay;
   }
 
-  std::vector<Commit> Commits()
-  {
-    const std::scoped_lock lock(mutex_);
-    return commits_;
-  }
   std::vector<Promotion> Promotions()
   {
     const std::scoped_lock lock(mutex_);
     return promotions_;
   }
-  std::vector<PromotionCall> PromotionCalls()
-  {
-    const std::scoped_lock lock(mutex_);
-    return calls_;
-  }
-  // The data of all commits in the log of the primary with the highest term.
-  std::set<std::string> ListKept()
-  {
-    const std::scoped_lock lock(mutex_);
-    std::set<std::string> kept;
-    for (const auto& entry : FindPrimary().log_) {
-      kept.insert(entry.data_);
-    }
-    return kept;
-  }
-  std::string PrimaryId()
-  {
-    const std::scoped_lock lock(mutex_);
-    return FindPrimary().id_;
-  }
 
 private:
   struct Server
@@ -978,8 +901,13 @@
               const std::string& aItem,
               const std::string& aData)
   {
-    commits_.push_back(
-      { Now(), aServer.id_, aServer.term_, aId, aItem, aData });
+    record_.Add("at {} id={} commits {} {} at {}.{}",
+                aServer.id_,
+                aId,
+                aItem,
+                aData,
+                aServer.term_,
+                aServer.log_.size() + 1);
     const bool isFollowed = &FindPrimary() == &aServer;
     for (const auto& server : servers_) {
       const bool receives = server.get() == &aServer ||
@@ -1061,33 +989,15 @@
 
   void ServePlatform(Stream& aStream)
   {
-    while (const auto request = ReadHttp(aStream, 30'000)) {
-      PromotionCall call;
-      call.arrivedAt_ = Now();
-      call.server_ = FindJsonText(request->body_, "id");
-      const auto header = [&](const char* aName) {
-        const auto found = request->headers_.find(aName);
-        return found == request->headers_.end() ? std::string() : found->second;
-      };
-      call.holder_ = header("x-jaydoor-duty-holder");
-      call.token_ =
-        std::strtoull(header("x-jaydoor-fencing-token").c_str(), nullptr, 10);
-      record_.Add("platform: promotion of {} arrives, holder={} token={}",
-                  call.server_,
-                  call.holder_,
-                  call.token_);
-      SleepMs(platformDelayMs_);
-      call.status_ = Accept(call.server_);
-      call.handledAt_ = Now();
-      record_.Add("platform: promotion of {} (arrived {}) is answered {}",
-                  call.server_,
-                  call.arrivedAt_,
-                  call.status_);
-      {
-        const std::scoped_lock lock(mutex_);
-        calls_.push_back(call);
-      }
-      AnswerHttp(aStream, call.status_, "{}");
+    while (auto request = ReadHttp(aStream, 30'000)) {
+      const std::string server = FindJsonText(request->body_, "id");
+      const int status = Accept(server);
+      record_.Add("platform: promotion of {}, holder={} token={} -> {}",
+                  server,
+                  request->headers_["x-jaydoor-duty-holder"],
+                  request->headers_["x-jaydoor-fencing-token"],
+                  status);
+      AnswerHttp(aStream, status, "{}");
     }
   }
 
@@ -1171,13 +1081,8 @@
   std::mutex mutex_;
   std::vector<std::unique_ptr<Server>> servers_;
   std::unique_ptr<Listener> platform_;
-  std::atomic<Ms> platformDelayMs_ = 0;
-  int cutSocket_ = -1;       // the platform's port while it is cut off
-  std::vector<int> fillers_; // connections that fill its queue
   std::string promotingServer_;
-  std::vector<Commit> commits_;
   std::vector<Promotion> promotions_;
-  std::vector<PromotionCall> calls_;
   std::uint64_t signatures_ = 0;
 };
 
@@ -1244,7 +1149,12 @@
         .string();
     folder_ = mkdtemp(folder.data());
   }
-  ~Fleet()
+  ~Fleet() { End(); }
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  // Ends all processes and removes their files.
+  void End()
   {
     processes_.clear();
     if (std::getenv("KEEP") == nullptr) {
@@ -1252,15 +1162,6 @@
       std::filesystem::remove_all(folder_, ignored);
     }
   }
-  Fleet(const Fleet&) = delete;
-  Fleet& operator=(const Fleet&) = delete;
-
-  // Where processes send promotions; the platform itself unless set.
-  void SetPlatform(const std::string& aName, Address aAddress)
-  {
-    platforms_[aName] = std::move(aAddress);
-  }
-
   void StartAll(int aEntries)
   {
     for (int number = 1; number <= 3; number++) {
@@ -1276,9 +1177,7 @@
     const bool isCore = aName.starts_with("core");
     const int number = std::stoi(aName.substr(aName.find('-') + 1));
     const Address at = isCore ? places_.Control(number) : places_.Entry(number);
-    const auto platform = platforms_.find(aName);
-    const Address& api =
-      platform == platforms_.end() ? places_.Platform() : platform->second;
+    const Address api = places_.Platform();
     const std::string path = fmt::format("{}/{}.yaml", folder_, aName);
     std::ofstream file(path);
     file << fmt::format(
@@ -1414,10 +1313,18 @@
   std::string program_;
   Record& record_;
   std::string folder_;
-  std::map<std::string, Address> platforms_;
   std::map<std::string, std::unique_ptr<standin::Process>> processes_;
 };
 
+// Ends the program without waiting for the threads of the stand-ins.
+[[noreturn]] inline void
+Finish(Fleet& aFleet, int aExitCode)
+{
+  aFleet.End();
+  std::fflush(stdout);
+  std::_Exit(aExitCode);
+}
+
 inline std::string
 MakeConfig(int aVersion, int aSyncReplicas = 0)
 {
